--- /dev/null
+++ b/src/batch/front.h
@@ -0,0 +1,326 @@
+/**
+ * What an entry does for a caller: routes by host and path, checks the key, accepts a job by one conditional write, and answers for
+ * its state. An acceptance is conditional on the policy that allowed it, so an entry with an old policy can't accept.
+ */
+#pragma once
+
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "batch/messages.h"
+#include "batch/model.h"
+#include "batch/policy_holder.h"
+#include "batch/records.h"
+#include "log/log.h"
+#include "metrics/registry.h"
+#include "store/key_value.h"
+#include "wire/codec.h"
+
+namespace plantainfork::batch
+{
+
+namespace asio = boost::asio;
+
+/** Who asks, and for what. */
+struct Caller {
+    std::string host;
+    std::string path;
+    std::string key;
+    /** When the caller gives up. */
+    runtime::Instant deadline;
+};
+
+enum class AnswerKind {
+    Accepted,
+    State,
+    Count,
+    Cancelled,
+    NoSuchJob,
+    NoSuchQueue,
+    UnknownKey,
+    Invalid,
+    /** Known not to have taken effect. */
+    Refused,
+    /** It may have taken effect, or still may; a repeat under the same id finds out. */
+    Unclear,
+};
+
+struct Answer {
+    AnswerKind kind = AnswerKind::Refused;
+    JobStatus status = JobStatus::Queued;
+    std::uint64_t count = 0;
+    std::chrono::seconds retryAfter{1};
+    std::string reason;
+};
+
+/** A job as the caller describes it; the rest of the JobSpec comes from the queue. */
+struct Submission {
+    std::string payload;
+    std::vector<Step> steps;
+    std::uint32_t occurrences = 0;
+    std::int64_t firstDueMs = 0;
+    std::chrono::milliseconds period{0};
+};
+
+/** Why a submission can't be run as described; empty: it can. */
+[[nodiscard]] std::string findFault(const Submission &submission);
+
+/** The queue whose host and longest prefix match; null: none. */
+[[nodiscard]] const Queue *matchQueue(const Policy &policy, const std::string &host, const std::string &path);
+
+template<store::KeyValueStore Store>
+class Front
+{
+public:
+    using AskPending = std::function<asio::awaitable<std::optional<PendingReply>>()>;
+
+    Front(Store &store, PolicyHolder &policy, metrics::Registry &metrics, AskPending askPending)
+        : m_store(store)
+        , m_policy(policy)
+        , m_metrics(metrics)
+        , m_askPending(std::move(askPending))
+    {
+    }
+
+    asio::awaitable<Answer> submit(Caller caller, base::JobId id, Submission submission)
+    {
+        bool mayHaveLanded = false;
+        std::string reason = "no policy";
+        while (hasTime(caller)) {
+            if (auto refusal = check(caller, id.value())) {
+                if (!mayHaveLanded || refusal->kind != AnswerKind::Refused) {
+                    co_return *refusal;
+                }
+                break;
+            }
+            const auto policy = m_policy.policy();
+            const Queue &queue = *matchQueue(*policy, caller.host, caller.path);
+            if (std::string fault = findFault(submission); !fault.empty()) {
+                co_return Answer{AnswerKind::Invalid, {}, 0, {}, fault};
+            }
+            const store::Write guard = m_policy.guard();
+            const auto result = co_await write(guard, keys::job(id, keys::JobPart::Spec), encodeSpec(caller, id, queue, *policy, submission), caller);
+            reason = result.reason;
+            if (result.outcome == store::WriteOutcome::Applied) {
+                note("job accepted", id, caller, policy->version, "written");
+                co_return Answer{AnswerKind::Accepted, {}, 0, {}, ""};
+            }
+            mayHaveLanded = mayHaveLanded || result.outcome == store::WriteOutcome::Unknown;
+            if (result.outcome == store::WriteOutcome::NotSent && !mayHaveLanded) {
+                break;
+            }
+            if (result.outcome == store::WriteOutcome::Conflict) {
+                const auto known = co_await m_store.readPrefix(keys::jobPrefix(id), callDeadline(caller));
+                if (known.ok() && !known->entries.empty()) {
+                    note("job accepted", id, caller, policy->version, "known already");
+                    co_return Answer{AnswerKind::Accepted, {}, 0, {}, ""};
+                }
+                if (known.ok() && guard.expected == m_policy.guard().expected) {
+                    co_await m_policy.changed(std::min(callDeadline(caller), runtime::Clock::now() + PolicyWait));
+                }
+                // The condition of every earlier write names a policy that is no longer in force, so none of them can still land.
+                mayHaveLanded = mayHaveLanded && !(known.ok() && guard.expected != m_policy.guard().expected);
+            }
+        }
+        note(mayHaveLanded ? "job unclear" : "job refused", id, caller, 0, reason);
+        co_return Answer{mayHaveLanded ? AnswerKind::Unclear : AnswerKind::Refused, {}, 0, RetryAfter, reason};
+    }
+
+    asio::awaitable<Answer> status(Caller caller, base::JobId id)
+    {
+        if (auto refusal = check(caller, id.value())) {
+            co_return *refusal;
+        }
+        while (true) {
+            const auto found = co_await m_store.readPrefix(keys::jobPrefix(id), callDeadline(caller));
+            if (found.ok()) {
+                if (auto refusal = check(caller, id.value())) {
+                    co_return *refusal;
+                }
+                co_return answerFor(*found, id);
+            }
+            if (!hasTime(caller)) {
+                note("state not read", id, caller, 0, std::string(found.status().message()));
+                co_return Answer{AnswerKind::Refused, {}, 0, RetryAfter, std::string(found.status().message())};
+            }
+            co_await runtime::sleepFor(RetryDelay);
+        }
+    }
+
+    asio::awaitable<Answer> cancel(Caller caller, base::JobId id)
+    {
+        std::string reason;
+        while (hasTime(caller)) {
+            if (auto refusal = check(caller, id.value())) {
+                co_return *refusal;
+            }
+            const auto found = co_await m_store.readPrefix(keys::jobPrefix(id), callDeadline(caller));
+            if (!found.ok()) {
+                reason = std::string(found.status().message());
+                co_await runtime::sleepFor(RetryDelay);
+                continue;
+            }
+            const Answer now = answerFor(*found, id);
+            if (now.kind == AnswerKind::NoSuchJob) {
+                co_return now;
+            }
+            if (isEnded(now.status)) {
+                co_return Answer{AnswerKind::Cancelled, now.status, 0, {}, ""};
+            }
+            const auto result = co_await write(m_policy.guard(), keys::job(id, keys::JobPart::Cancel), "", caller);
+            if (result.outcome == store::WriteOutcome::Applied) {
+                note("job cancelled", id, caller, m_policy.policy()->version, "written");
+                co_return Answer{AnswerKind::Cancelled, JobStatus::Cancelled, 0, {}, ""};
+            }
+            reason = result.reason;
+            co_await runtime::sleepFor(RetryDelay);
+        }
+        note("cancel unclear", id, caller, 0, reason);
+        co_return Answer{AnswerKind::Unclear, {}, 0, RetryAfter, reason};
+    }
+
+    asio::awaitable<Answer> pending(Caller caller)
+    {
+        if (auto refusal = check(caller, "")) {
+            co_return *refusal;
+        }
+        const QueueId queue = matchQueue(*m_policy.policy(), caller.host, caller.path)->id;
+        while (hasTime(caller)) {
+            const auto reply = co_await m_askPending();
+            if (reply) {
+                Answer answer{AnswerKind::Count, {}, 0, {}, ""};
+                for (std::size_t i = 0; i < reply->queues.size() && i < reply->counts.size(); ++i) {
+                    answer.count += reply->queues[i] == queue ? reply->counts[i] : 0;
+                }
+                co_return answer;
+            }
+            co_await runtime::sleepFor(RetryDelay);
+        }
+        co_return Answer{AnswerKind::Refused, {}, 0, RetryAfter, "no scheduler in office is reachable"};
+    }
+
+    /** Whether callers are served here: the policy is known and confirmed lately. */
+    [[nodiscard]] bool isReady() const
+    {
+        return m_policy.isCurrent(runtime::Clock::now());
+    }
+
+private:
+    /** Kept off a caller's deadline for the way of the answer. */
+    static constexpr std::chrono::milliseconds AnswerMargin{250};
+    static constexpr std::chrono::milliseconds RetryDelay{60};
+    /** Time for a changed policy to arrive by the watch. */
+    static constexpr std::chrono::milliseconds PolicyWait{200};
+    /** One call to the store; a shorter bound than the caller's leaves time for another try on a new connection. */
+    static constexpr std::chrono::milliseconds StoreCall{1000};
+    static constexpr std::chrono::seconds RetryAfter{1};
+
+    static bool hasTime(const Caller &caller)
+    {
+        return runtime::Clock::now() + AnswerMargin < caller.deadline;
+    }
+    static runtime::Instant callDeadline(const Caller &caller)
+    {
+        return std::min(caller.deadline - AnswerMargin, runtime::Clock::now() + StoreCall);
+    }
+
+    /** Why the caller isn't served; nothing: it may be. A policy that may be out of date refuses nobody for good. */
+    std::optional<Answer> check(const Caller &caller, const std::string &id)
+    {
+        const auto now = runtime::Clock::now();
+        if (!m_policy.isCurrent(now)) {
+            const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(m_policy.age(now));
+            log::write(log::Severity::Info, "request refused", {{"job", id}, {"reason", "policy not confirmed"}, {"age_ms", std::to_string(age.count())}});
+            return Answer{AnswerKind::Refused, {}, 0, RetryAfter, "policy not confirmed"};
+        }
+        const auto policy = m_policy.policy();
+        const Queue *queue = matchQueue(*policy, caller.host, caller.path);
+        if (queue == nullptr) {
+            return Answer{AnswerKind::NoSuchQueue, {}, 0, {}, "no queue for " + caller.host + caller.path};
+        }
+        if (!queue->isPublic && !policy->keys.contains(caller.key)) {
+            log::write(log::Severity::Info, "key unknown", {{"job", id}, {"version", std::to_string(policy->version)}});
+            return Answer{AnswerKind::UnknownKey, {}, 0, {}, "unknown key"};
+        }
+        return std::nullopt;
+    }
+
+    static std::string encodeSpec(const Caller &caller, const base::JobId &id, const Queue &queue, const Policy &policy, const Submission &submission)
+    {
+        JobSpec spec;
+        spec.id = id;
+        spec.queue = queue.id;
+        spec.service = queue.service;
+        const auto workspace = policy.keys.find(caller.key);
+        spec.workspace = workspace != policy.keys.end() ? workspace->second : base::WorkspaceId();
+        spec.payload = submission.payload;
+        spec.steps = submission.steps;
+        spec.occurrences = submission.occurrences;
+        spec.firstDueMs = submission.firstDueMs;
+        spec.period = submission.period;
+        const auto wall = std::chrono::system_clock::now().time_since_epoch();
+        spec.acceptedMs = std::chrono::duration_cast<std::chrono::milliseconds>(wall).count();
+        spec.priority = queue.priority;
+        spec.mostFailures = queue.mostFailures;
+        spec.slackFactor = queue.slackFactor;
+        spec.latencyTarget = queue.latencyTarget;
+        return wire::encode(spec);
+    }
+
+    asio::awaitable<store::WriteResult> write(store::Write guard, std::string key, std::string value, const Caller &caller)
+    {
+        std::vector<store::Write> rows;
+        rows.push_back(std::move(guard));
+        store::Write row;
+        row.key = std::move(key);
+        row.value = std::move(value);
+        rows.push_back(std::move(row));
+        co_return co_await m_store.transact(std::move(rows), callDeadline(caller));
+    }
+
+    static Answer answerFor(const store::ReadResult &found, const base::JobId &id)
+    {
+        Answer answer{AnswerKind::NoSuchJob, {}, 0, {}, "no such job"};
+        bool isCancelled = false;
+        for (const auto &entry : found.entries) {
+            const auto key = keys::parseJob(entry.key);
+            if (!key || key->id != id) {
+                continue;
+            }
+            answer.kind = AnswerKind::State;
+            isCancelled = isCancelled || key->part == keys::JobPart::Cancel;
+            if (key->part == keys::JobPart::State) {
+                const auto state = wire::decode<JobState>(entry.value);
+                if (!state.ok()) {
+                    log::write(log::Severity::Error, "state record unreadable", {{"job", id.value()}, {"reason", std::string(state.status().message())}});
+                    return Answer{AnswerKind::Refused, {}, 0, RetryAfter, "state record unreadable"};
+                }
+                answer.status = state->status;
+            }
+        }
+        if (answer.kind == AnswerKind::State && isCancelled && !isEnded(answer.status)) {
+            answer.status = JobStatus::Cancelled;
+        }
+        return answer;
+    }
+
+    static void note(const char *event, const base::JobId &id, const Caller &caller, std::uint64_t version, const std::string &why)
+    {
+        const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(caller.deadline - runtime::Clock::now());
+        log::write(log::Severity::Info,
+                   event,
+                   {{"job", id.value()}, {"path", caller.path}, {"version", std::to_string(version)}, {"left_ms", std::to_string(left.count())}, {"why", why}});
+    }
+
+    Store &m_store;
+    PolicyHolder &m_policy;
+    metrics::Registry &m_metrics;
+    AskPending m_askPending;
+};
+
+} // namespace plantainfork::batch
--- /dev/null
+++ b/src/batch/scheduler.h
@@ -0,0 +1,652 @@
+/**
+ * The scheduler of an entry. All entries stand for election by a lease in the store; the one in office reads the jobs, hears the
+ * agents, decides in rounds and records each round before any host hears of it. Every record is written under the condition that this
+ * entry still holds the lease, so a scheduler that has lost its office can't record, and so can't order, anything.
+ */
+#pragma once
+
+#include <algorithm>
+#include <chrono>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include "batch/messages.h"
+#include "batch/planner.h"
+#include "batch/policy_holder.h"
+#include "batch/records.h"
+#include "batch/settings.h"
+#include "batch/workload.h"
+#include "log/log.h"
+#include "metrics/registry.h"
+#include "runtime/jitter.h"
+#include "runtime/signal.h"
+#include "runtime/timer.h"
+#include "store/key_value.h"
+#include "wire/codec.h"
+
+namespace plantainfork::batch
+{
+
+namespace asio = boost::asio;
+
+struct SchedulerTiming {
+    /** A held call of an agent is answered at the latest after this; a third of the silence after which it counts as out of touch. */
+    static constexpr std::chrono::milliseconds LongestHeldCall{1000};
+    /** Rounds run at least this often, for what is due by time alone. */
+    static constexpr std::chrono::milliseconds RoundInterval{200};
+    /** Events that come closer together are decided in one round. */
+    static constexpr std::chrono::milliseconds RoundGap{4};
+    /** Bound on one call to the store; its usual answer takes milliseconds, and a slow one about half a second. */
+    static constexpr std::chrono::milliseconds StoreCall{1500};
+    static constexpr std::chrono::milliseconds Watch{10'000};
+    static constexpr std::chrono::milliseconds RetryDelay{100};
+    /** A candidate waits this many store answer times before it stands, so that one near the store wins. */
+    static constexpr int CandidateDelayAnswers = 4;
+    static constexpr std::chrono::milliseconds LongestCandidateDelay{400};
+    /** Rows of one transaction, one less than the store's limit for the row that checks the office. */
+    static constexpr std::size_t RowsPerTransaction = 31;
+    static constexpr std::chrono::seconds CleaningInterval{5};
+};
+
+template<store::ChangeFeed Store>
+class Scheduler : public std::enable_shared_from_this<Scheduler<Store>>
+{
+public:
+    Scheduler(asio::any_io_executor executor, const Settings &settings, Store &store, PolicyHolder &policy, metrics::Registry &metrics)
+        : m_executor(executor)
+        , m_settings(settings)
+        , m_store(store)
+        , m_policy(policy)
+        , m_grant(settings.longestHold - GrantMargin)
+        , m_planner(PlannerBounds{settings.remoteFactor, settings.killGrace})
+        , m_wake(executor)
+        , m_published(executor)
+        , m_rounds(metrics.histogram("plantainfork_batch_round_seconds"))
+        , m_recordSeconds(metrics.histogram("plantainfork_batch_record_seconds"))
+        , m_placements(metrics.counter("plantainfork_batch_placements_total"))
+        , m_stops(metrics.counter("plantainfork_batch_stops_total"))
+        , m_blocked(metrics.gauge("plantainfork_batch_blocked_units"))
+    {
+    }
+
+    void start()
+    {
+        asio::co_spawn(m_executor, stand(this->shared_from_this()), asio::detached);
+    }
+
+    /** Gives the office up at once, if it is held, so that another entry takes it without waiting for the lease. */
+    asio::awaitable<void> stop()
+    {
+        m_isStopping = true;
+        m_wake.notify();
+        if (m_term) {
+            m_term->isOver = true;
+            const auto session = m_term->session;
+            m_published.notify();
+            const auto ended = co_await m_store.destroySession(session, deadline());
+            log::write(log::Severity::Info, "office given up", {{"status", std::string(ended.message())}});
+        }
+    }
+
+    asio::awaitable<absl::StatusOr<SyncReply>> sync(SyncCall call)
+    {
+        if (!isInOffice()) {
+            co_return redirect();
+        }
+        const auto term = m_term;
+        if (term->isLoaded && term->workload.hear(call, runtime::Clock::now(), wallNow())) {
+            m_wake.notify();
+        }
+        const auto until = runtime::Clock::now() + std::min<std::chrono::milliseconds>(call.wait, SchedulerTiming::LongestHeldCall);
+        while (!term->isOver && !hasNews(*term, call) && runtime::Clock::now() < until) {
+            co_await m_published.waitUntil(until);
+        }
+        if (term->isOver) {
+            co_return redirect();
+        }
+        co_return reply(*term, call);
+    }
+
+    asio::awaitable<absl::StatusOr<PendingReply>> pending(PendingCall)
+    {
+        PendingReply reply;
+        reply.isLeader = isInOffice() && m_term->isLoaded;
+        if (reply.isLeader) {
+            std::map<QueueId, std::uint64_t> counts;
+            for (const auto &[id, job] : m_term->workload.jobs()) {
+                counts[job.spec.queue] += job.status == JobStatus::Queued ? 1 : 0;
+            }
+            for (const auto &[queue, count] : counts) {
+                reply.queues.push_back(queue);
+                reply.counts.push_back(count);
+            }
+        }
+        co_return reply;
+    }
+
+    /** Who is in office as far as this entry knows; port 0: nobody. */
+    [[nodiscard]] wire::Address leader() const
+    {
+        return m_leader;
+    }
+    void setEntries(std::vector<wire::Address> entries)
+    {
+        m_entries = std::move(entries);
+    }
+
+private:
+    /** Kept off the longest hold for the way of the grant to the executor. */
+    static constexpr std::chrono::milliseconds GrantMargin{500};
+
+    /** One time in office. */
+    struct Term {
+        Term(base::FencingToken givenToken, WorkloadBounds bounds, runtime::Instant now)
+            : token(givenToken)
+            , workload(givenToken, bounds, now)
+        {
+        }
+
+        base::FencingToken token;
+        store::SessionId session;
+        /** The lease holds at least until then. */
+        runtime::Instant leaseUntil;
+        Workload workload;
+        bool isLoaded = false;
+        bool isOver = false;
+        /** Revision of each job's state record; absent: there is none. */
+        std::map<base::JobId, store::Index> stateIndex;
+        /** Orders as recorded and in force. */
+        std::map<HostId, Orders> orders;
+        /** Encoded orders as last published, to see changes. */
+        std::map<HostId, std::string> encoded;
+        store::Index jobsIndex;
+    };
+
+    static WallTime wallNow()
+    {
+        return std::chrono::time_point_cast<std::chrono::milliseconds>(std::chrono::system_clock::now());
+    }
+    static runtime::Instant deadline()
+    {
+        return runtime::Clock::now() + SchedulerTiming::StoreCall;
+    }
+    [[nodiscard]] bool isInOffice() const
+    {
+        return m_term && !m_term->isOver;
+    }
+
+    SyncReply redirect() const
+    {
+        SyncReply reply;
+        reply.leader = m_leader;
+        reply.entries = m_entries;
+        return reply;
+    }
+
+    static bool hasNews(const Term &term, const SyncCall &call)
+    {
+        const auto orders = term.orders.find(call.host);
+        return call.ordersToken != term.token || (orders != term.orders.end() && orders->second.version > call.ordersVersion);
+    }
+
+    SyncReply reply(const Term &term, const SyncCall &call) const
+    {
+        SyncReply reply;
+        reply.isLeader = true;
+        reply.leader = m_settings.rpc;
+        reply.token = term.token;
+        reply.entries = m_entries;
+        const auto lapse = term.leaseUntil + m_grant - runtime::Clock::now();
+        reply.grant = std::clamp(std::chrono::duration_cast<std::chrono::milliseconds>(lapse), std::chrono::milliseconds(0), m_grant);
+        const auto orders = term.orders.find(call.host);
+        if (orders != term.orders.end()) {
+            reply.orders = orders->second;
+            dropKnownPayloads(reply.orders, call);
+        }
+        return reply;
+    }
+
+    /** Payloads go to a host once; afterwards the run's identity is enough. */
+    static void dropKnownPayloads(Orders &orders, const SyncCall &call)
+    {
+        for (auto &order : orders.runs) {
+            const bool isKnown = std::any_of(call.running.begin(),
+                                             call.running.end(),
+                                             [&](const Running &running) {
+                                                 return running.run == order.run;
+                                             })
+                || std::find(call.starting.begin(), call.starting.end(), order.run) != call.starting.end();
+            if (isKnown) {
+                order.payload.clear();
+                order.checkpoint.clear();
+            }
+        }
+    }
+
+    asio::awaitable<void> stand([[maybe_unused]] std::shared_ptr<Scheduler> self)
+    {
+        store::Index index;
+        while (!m_isStopping) {
+            const auto asked = runtime::Clock::now();
+            auto found = co_await m_store.read(std::string(keys::Leader), deadline());
+            if (!found.ok()) {
+                log::write(log::Severity::Warning, "leader unknown", {{"reason", std::string(found.status().message())}});
+                co_await runtime::sleepFor(SchedulerTiming::RetryDelay * 3);
+                continue;
+            }
+            const auto answerTime = runtime::Clock::now() - asked;
+            const bool isHeld = !found->entries.empty() && !found->entries.front().session.isEmpty();
+            if (isHeld) {
+                noteLeader(found->entries.front());
+                co_await m_store.followPrefix(std::string(keys::Leader), found->index, SchedulerTiming::Watch);
+                continue;
+            }
+            m_leader = {};
+            co_await runtime::sleepFor(
+                std::min<runtime::Clock::duration>(answerTime * SchedulerTiming::CandidateDelayAnswers, SchedulerTiming::LongestCandidateDelay)
+                + runtime::uniformDelay(std::chrono::milliseconds(20)));
+            if (!m_isStopping && m_policy.policy() != nullptr) {
+                co_await seekOffice(found->entries.empty());
+            }
+        }
+    }
+
+    void noteLeader(const store::KeyValue &entry)
+    {
+        const auto record = wire::decode<LeaderRecord>(entry.value);
+        if (!record.ok()) {
+            log::write(log::Severity::Error, "leader record unreadable", {{"reason", std::string(record.status().message())}});
+            return;
+        }
+        if (m_leader != record->rpc) {
+            log::write(log::Severity::Info, "leader known", {{"leader", record->member.value()}, {"token", std::to_string(entry.lockIndex)}});
+        }
+        m_leader = record->rpc;
+    }
+
+    asio::awaitable<void> seekOffice(bool)
+    {
+        const auto asked = runtime::Clock::now();
+        auto session = co_await m_store.createSession(m_settings.schedulerLease, deadline());
+        if (!session.ok()) {
+            co_return;
+        }
+        store::Write lock;
+        lock.kind = store::Write::Kind::Lock;
+        lock.key = std::string(keys::Leader);
+        lock.value = wire::encode(LeaderRecord{m_settings.id, m_settings.rpc});
+        lock.session = *session;
+        std::vector<store::Write> rows;
+        rows.push_back(lock);
+        const auto result = co_await m_store.transact(rows, deadline());
+        if (result.outcome != store::WriteOutcome::Applied || result.written.empty()) {
+            // An unanswered lock may still have been taken; ending the lease makes sure that it doesn't stand.
+            const auto ended = co_await m_store.destroySession(*session, deadline());
+            log::write(log::Severity::Info, "not elected", {{"reason", result.reason}, {"lease_ended", ended.ok() ? "true" : "false"}});
+            co_return;
+        }
+        WorkloadBounds bounds;
+        bounds.longestGrant = m_grant;
+        m_term = std::make_shared<Term>(base::FencingToken(result.written.front().lockIndex), bounds, runtime::Clock::now());
+        m_term->session = *session;
+        m_term->leaseUntil = asked + m_settings.schedulerLease;
+        m_leader = m_settings.rpc;
+        log::write(log::Severity::Info, "office taken", {{"token", std::to_string(m_term->token.value())}});
+        co_await serve(m_term);
+    }
+
+    asio::awaitable<void> serve(std::shared_ptr<Term> term)
+    {
+        const auto self = this->shared_from_this();
+        asio::co_spawn(m_executor, renew(self, term), asio::detached);
+        asio::co_spawn(m_executor, followJobs(self, term), asio::detached);
+        asio::co_spawn(m_executor, clean(self, term), asio::detached);
+        while (!term->isOver) {
+            if (term->isLoaded) {
+                co_await round(*term);
+            }
+            if (!term->isOver) {
+                co_await m_wake.waitUntil(runtime::Clock::now() + SchedulerTiming::RoundInterval);
+                co_await runtime::sleepFor(SchedulerTiming::RoundGap);
+            }
+        }
+        log::write(log::Severity::Info, "office left", {{"token", std::to_string(term->token.value())}});
+        m_published.notify();
+        if (m_term == term) {
+            m_term = nullptr;
+        }
+    }
+
+    void endTerm(Term &term, const std::string &why)
+    {
+        if (!term.isOver) {
+            log::write(log::Severity::Warning, "office lost", {{"token", std::to_string(term.token.value())}, {"reason", why}});
+        }
+        term.isOver = true;
+        m_wake.notify();
+        m_published.notify();
+    }
+
+    asio::awaitable<void> renew([[maybe_unused]] std::shared_ptr<Scheduler> self, std::shared_ptr<Term> term)
+    {
+        constexpr int RenewalsPerLease = 3;
+        while (!term->isOver) {
+            co_await runtime::sleepFor(m_settings.schedulerLease / RenewalsPerLease);
+            const auto asked = runtime::Clock::now();
+            const auto renewed = co_await m_store.renewSession(term->session, asked + m_settings.schedulerLease / 2);
+            if (renewed.ok()) {
+                term->leaseUntil = asked + m_settings.schedulerLease;
+            } else if (absl::IsNotFound(renewed)) {
+                endTerm(*term, "lease has ended");
+            } else if (runtime::Clock::now() > term->leaseUntil + m_grant) {
+                endTerm(*term, "store unreachable for longer than a grant");
+            } else {
+                log::write(log::Severity::Warning, "lease not renewed", {{"reason", std::string(renewed.message())}});
+            }
+        }
+    }
+
+    asio::awaitable<void> followJobs([[maybe_unused]] std::shared_ptr<Scheduler> self, std::shared_ptr<Term> term)
+    {
+        while (!term->isOver) {
+            const auto all = co_await m_store.readPrefix(std::string(keys::Jobs), deadline());
+            if (!all.ok()) {
+                log::write(log::Severity::Warning, "jobs not read", {{"reason", std::string(all.status().message())}});
+                co_await runtime::sleepFor(SchedulerTiming::RetryDelay);
+                continue;
+            }
+            takeAll(*term, *all);
+            if (!term->isLoaded) {
+                term->isLoaded = true;
+                log::write(log::Severity::Info, "jobs loaded", {{"jobs", std::to_string(term->workload.jobs().size())}});
+            }
+            m_wake.notify();
+            co_await followFrom(*term, all->index);
+        }
+    }
+
+    /** Follows changes until the history is gone or the term ends. */
+    asio::awaitable<void> followFrom(Term &term, store::Index index)
+    {
+        while (!term.isOver) {
+            const auto changes = co_await m_store.followPrefix(std::string(keys::Jobs), index, SchedulerTiming::Watch);
+            if (changes.ok()) {
+                index = changes->index;
+                takeEntries(term, changes->written);
+                if (!changes->written.empty()) {
+                    m_wake.notify();
+                }
+            } else if (absl::IsOutOfRange(changes.status())) {
+                log::write(log::Severity::Info, "history of jobs is gone, reading all");
+                co_return;
+            } else {
+                log::write(log::Severity::Warning, "jobs not followed", {{"reason", std::string(changes.status().message())}});
+                co_await runtime::sleepFor(SchedulerTiming::RetryDelay);
+            }
+        }
+    }
+
+    void takeAll(Term &term, const store::ReadResult &all)
+    {
+        std::map<base::JobId, JobState> states;
+        for (const auto &entry : all.entries) {
+            const auto key = keys::parseJob(entry.key);
+            if (!key || key->part != keys::JobPart::State || term.stateIndex.contains(key->id)) {
+                continue;
+            }
+            auto state = wire::decode<JobState>(entry.value);
+            if (state.ok()) {
+                states[key->id] = std::move(*state);
+                term.stateIndex[key->id] = entry.modified;
+            } else {
+                log::write(log::Severity::Error, "state record unreadable", {{"job", key->id.value()}, {"reason", std::string(state.status().message())}});
+            }
+        }
+        for (const auto &entry : all.entries) {
+            const auto key = keys::parseJob(entry.key);
+            if (key && key->part == keys::JobPart::Spec) {
+                const auto state = states.find(key->id);
+                takeSpec(term, key->id, entry.value, state != states.end() ? std::optional(state->second) : std::nullopt);
+            }
+        }
+        takeCancels(term, all.entries);
+    }
+
+    void takeEntries(Term &term, const std::vector<store::KeyValue> &entries)
+    {
+        for (const auto &entry : entries) {
+            const auto key = keys::parseJob(entry.key);
+            if (key && key->part == keys::JobPart::Spec) {
+                takeSpec(term, key->id, entry.value, std::nullopt);
+            }
+        }
+        takeCancels(term, entries);
+    }
+
+    static void takeCancels(Term &term, const std::vector<store::KeyValue> &entries)
+    {
+        for (const auto &entry : entries) {
+            const auto key = keys::parseJob(entry.key);
+            if (key && key->part == keys::JobPart::Cancel) {
+                term.workload.cancelJob(key->id, wallNow());
+            }
+        }
+    }
+
+    static void takeSpec(Term &term, const base::JobId &id, const std::string &value, const std::optional<JobState> &state)
+    {
+        auto spec = wire::decode<JobSpec>(value);
+        if (!spec.ok()) {
+            log::write(log::Severity::Error, "job record unreadable", {{"job", id.value()}, {"reason", std::string(spec.status().message())}});
+            return;
+        }
+        term.workload.addJob(std::move(*spec), state, runtime::Clock::now(), wallNow());
+    }
+
+    asio::awaitable<void> round(Term &term)
+    {
+        const auto begin = runtime::Clock::now();
+        if (m_policy.policy()) {
+            term.workload.setPolicy(m_policy.policy());
+        }
+        term.workload.expireSilentHosts(begin, wallNow());
+        const Plan plan = m_planner.plan(term.workload, m_policy.evacuated(), begin, wallNow());
+        for (const auto &stop : plan.stops) {
+            term.workload.stop(stop.unit, stop.reason);
+        }
+        for (const auto &placement : plan.placements) {
+            term.workload.place(placement.unit, placement.hosts, begin);
+        }
+        m_placements.add(plan.placements.size());
+        m_stops.add(plan.stops.size());
+        m_blocked.set(static_cast<std::int64_t>(plan.blocked));
+        for (const auto &event : term.workload.takeEvents()) {
+            std::vector<log::Field> fields;
+            for (const auto &[name, value] : event.fields) {
+                fields.push_back({name, value});
+            }
+            log::write(log::Severity::Info, event.name, fields);
+        }
+        auto next = collectOrders(term);
+        m_rounds.record(runtime::Clock::now() - begin);
+        const bool isRecorded = co_await record(term);
+        if (isRecorded) {
+            publish(term, std::move(next));
+        }
+    }
+
+    std::map<HostId, Orders> collectOrders(Term &term)
+    {
+        std::map<HostId, Orders> all;
+        for (auto &[id, host] : term.workload.hosts()) {
+            Orders orders = term.workload.ordersFor(host);
+            orders.version = 0;
+            std::string encoded = wire::encode(orders);
+            auto &last = term.encoded[id];
+            if (last != encoded) {
+                last = std::move(encoded);
+                ++host.ordersVersion;
+            }
+            orders.version = host.ordersVersion;
+            all[id] = std::move(orders);
+        }
+        return all;
+    }
+
+    void publish(Term &term, std::map<HostId, Orders> next)
+    {
+        term.orders = std::move(next);
+        m_published.notify();
+    }
+
+    /** Writes the state of all jobs that have changed. Returns false when the office is lost. */
+    asio::awaitable<bool> record(Term &term)
+    {
+        std::vector<std::pair<base::JobId, std::string>> records;
+        for (auto &[id, job] : term.workload.jobs()) {
+            if (job.isDirty) {
+                records.emplace_back(id, wire::encode(term.workload.recordOf(job)));
+                job.isDirty = false;
+            }
+        }
+        const auto begin = runtime::Clock::now();
+        for (std::size_t first = 0; first < records.size(); first += SchedulerTiming::RowsPerTransaction) {
+            const auto last = std::min(first + SchedulerTiming::RowsPerTransaction, records.size());
+            const std::vector<std::pair<base::JobId, std::string>> part(records.begin() + static_cast<std::ptrdiff_t>(first),
+                                                                        records.begin() + static_cast<std::ptrdiff_t>(last));
+            bool isWritten = co_await writeRecords(term, part);
+            while (!isWritten && !term.isOver) {
+                co_await runtime::sleepFor(SchedulerTiming::RetryDelay);
+                isWritten = co_await writeRecords(term, part);
+            }
+        }
+        if (!records.empty()) {
+            m_recordSeconds.record(runtime::Clock::now() - begin);
+        }
+        co_return !term.isOver;
+    }
+
+    /** Returns whether the records are written for good. */
+    asio::awaitable<bool> writeRecords(Term &term, const std::vector<std::pair<base::JobId, std::string>> &records)
+    {
+        std::vector<store::Write> rows;
+        store::Write lock;
+        lock.kind = store::Write::Kind::Lock;
+        lock.key = std::string(keys::Leader);
+        lock.value = wire::encode(LeaderRecord{m_settings.id, m_settings.rpc});
+        lock.session = term.session;
+        rows.push_back(std::move(lock));
+        for (const auto &[id, value] : records) {
+            store::Write row;
+            row.key = keys::job(id, keys::JobPart::State);
+            row.value = value;
+            const auto index = term.stateIndex.find(id);
+            row.expected = index != term.stateIndex.end() ? index->second : store::Index();
+            rows.push_back(std::move(row));
+        }
+        const auto result = co_await m_store.transact(rows, deadline());
+        if (result.outcome == store::WriteOutcome::Applied) {
+            for (const auto &entry : result.written) {
+                if (const auto key = keys::parseJob(entry.key)) {
+                    term.stateIndex[key->id] = entry.modified;
+                }
+            }
+            co_return true;
+        }
+        log::write(log::Severity::Warning, "records not written", {{"records", std::to_string(records.size())}, {"reason", result.reason}});
+        if (result.outcome == store::WriteOutcome::Conflict) {
+            co_await settleConflict(term, records);
+        }
+        co_return false;
+    }
+
+    /** Either the office is lost, or an earlier write of ours took effect unanswered and the records have moved on. */
+    asio::awaitable<void> settleConflict(Term &term, const std::vector<std::pair<base::JobId, std::string>> &records)
+    {
+        const auto leader = co_await m_store.read(std::string(keys::Leader), deadline());
+        if (!leader.ok()) {
+            co_return;
+        }
+        if (leader->entries.empty() || leader->entries.front().session != term.session) {
+            endTerm(term, "another scheduler is in office");
+            co_return;
+        }
+        for (const auto &[id, value] : records) {
+            const auto state = co_await m_store.read(keys::job(id, keys::JobPart::State), deadline());
+            if (state.ok() && !state->entries.empty()) {
+                term.stateIndex[id] = state->entries.front().modified;
+            }
+        }
+    }
+
+    /** Removes the records of jobs that ended long ago. */
+    asio::awaitable<void> clean([[maybe_unused]] std::shared_ptr<Scheduler> self, std::shared_ptr<Term> term)
+    {
+        while (!term->isOver) {
+            co_await runtime::sleepFor(SchedulerTiming::CleaningInterval);
+            const auto oldest = wallNow().time_since_epoch() - std::chrono::milliseconds(m_settings.keepEnded);
+            std::vector<base::JobId> old;
+            for (const auto &[id, job] : term->workload.jobs()) {
+                const bool isOld = isEnded(job.status) && !job.isDirty && std::chrono::milliseconds(job.endedMs) < oldest;
+                if (isOld && old.size() < JobsCleanedAtOnce) {
+                    old.push_back(id);
+                }
+            }
+            for (const auto &id : old) {
+                co_await removeJob(*term, id);
+            }
+        }
+    }
+
+    asio::awaitable<void> removeJob(Term &term, const base::JobId &id)
+    {
+        const auto all = co_await m_store.readPrefix(keys::jobPrefix(id), deadline());
+        if (!all.ok()) {
+            co_return;
+        }
+        std::vector<store::Write> rows;
+        for (const auto &entry : all->entries) {
+            store::Write row;
+            row.kind = store::Write::Kind::Remove;
+            row.key = entry.key;
+            row.expected = entry.modified;
+            rows.push_back(std::move(row));
+        }
+        const auto result = co_await m_store.transact(rows, deadline());
+        if (result.outcome == store::WriteOutcome::Applied) {
+            term.workload.forgetJob(id);
+            term.stateIndex.erase(id);
+            log::write(log::Severity::Debug, "job forgotten", {{"job", id.value()}});
+        }
+    }
+
+    static constexpr std::size_t JobsCleanedAtOnce = 8;
+
+    asio::any_io_executor m_executor;
+    const Settings &m_settings;
+    Store &m_store;
+    PolicyHolder &m_policy;
+    /** The longest that an agent may let its host run without hearing from the scheduler. */
+    const std::chrono::milliseconds m_grant;
+    Planner m_planner;
+    runtime::Signal m_wake;
+    runtime::Signal m_published;
+    std::shared_ptr<Term> m_term;
+    wire::Address m_leader;
+    std::vector<wire::Address> m_entries;
+    bool m_isStopping = false;
+    metrics::Histogram &m_rounds;
+    metrics::Histogram &m_recordSeconds;
+    metrics::Counter &m_placements;
+    metrics::Counter &m_stops;
+    metrics::Gauge &m_blocked;
+};
+
+} // namespace plantainfork::batch
--- /dev/null
+++ b/src/batch/settings.cpp
@@ -0,0 +1,157 @@
+#include "batch/settings.h"
+
+#include <array>
+#include <fstream>
+#include <optional>
+#include <sstream>
+#include <utility>
+
+#include "settings/address.h"
+#include "settings/reader.h"
+
+namespace plantainfork::batch
+{
+
+namespace
+{
+
+using settings::PlacedText;
+using settings::Presence;
+using settings::Range;
+using settings::TableReader;
+
+struct TimeSetting {
+    std::string_view key;
+    std::chrono::milliseconds Settings::*member;
+    Range range;
+};
+
+constexpr std::array TimeSettings{
+    TimeSetting{"scheduler_lease_ms", &Settings::schedulerLease, {1000, 60'000}},
+    TimeSetting{"longest_hold_ms", &Settings::longestHold, {1000, 600'000}},
+    TimeSetting{"kill_grace_ms", &Settings::killGrace, {0, 60'000}},
+    TimeSetting{"revocation_ms", &Settings::revocation, {500, 600'000}},
+    TimeSetting{"drain_limit_ms", &Settings::drainLimit, {0, 3'600'000}},
+};
+
+constexpr Range PortRange{1, 65'535};
+constexpr Range KeepEndedRange{1, 86'400};
+constexpr Range RemoteFactorRange{1, 100};
+
+std::string readName(TableReader &reader, std::string_view key)
+{
+    const auto text = reader.text(key, Presence::Required);
+    if (text && text->value.empty()) {
+        reader.report(text->place, key, "must not be empty");
+    }
+    return text ? text->value : std::string();
+}
+
+std::optional<wire::Address> readAddress(TableReader &reader, std::string_view key, const std::optional<PlacedText> &text)
+{
+    if (!text) {
+        return std::nullopt;
+    }
+    auto address = settings::parseAddress(text->value);
+    if (!address) {
+        reader.report(text->place, key, "must be IP:PORT with a port from 1 to 65535");
+    }
+    return address;
+}
+
+log::Severity readSeverity(TableReader &reader)
+{
+    static constexpr std::array Severities{std::pair{"debug", log::Severity::Debug},
+                                           std::pair{"info", log::Severity::Info},
+                                           std::pair{"warning", log::Severity::Warning},
+                                           std::pair{"error", log::Severity::Error}};
+    const auto text = reader.text("log_severity", Presence::Optional);
+    if (!text) {
+        return log::Severity::Info;
+    }
+    for (const auto &[name, severity] : Severities) {
+        if (text->value == name) {
+            return severity;
+        }
+    }
+    reader.report(text->place, "log_severity", "must be \"debug\", \"info\", \"warning\" or \"error\"");
+    return log::Severity::Info;
+}
+
+void readTop(TableReader &reader, Settings &settings)
+{
+    const auto role = reader.text("role", Presence::Required);
+    if (role && role->value != "entry" && role->value != "agent") {
+        reader.report(role->place, "role", "must be \"entry\" or \"agent\"");
+    }
+    settings.role = role && role->value == "entry" ? wire::MemberRole::Entry : wire::MemberRole::Agent;
+    settings.id = base::MemberId(readName(reader, "id"));
+    settings.region = base::RegionId(readName(reader, "region"));
+    settings.dataCentre = base::DataCentreId(readName(reader, "data_centre"));
+    const bool isEntry = settings.role == wire::MemberRole::Entry;
+    const auto address = [&](std::string_view key, Presence presence) {
+        return readAddress(reader, key, reader.text(key, presence)).value_or(wire::Address());
+    };
+    settings.rpc = address("rpc", Presence::Required);
+    settings.http = address("http", Presence::Required);
+    settings.readiness = address("readiness", isEntry ? Presence::Required : Presence::Optional);
+    settings.metrics = address("metrics", Presence::Optional);
+    settings.store = address("store", Presence::Required);
+    settings.executor = address("executor", isEntry ? Presence::Optional : Presence::Required);
+    if (const auto port = reader.integer("entries_port", PortRange)) {
+        settings.entriesPort = static_cast<std::uint16_t>(*port);
+    }
+    for (const auto &text : reader.texts("entries")) {
+        if (auto entry = readAddress(reader, "entries", text)) {
+            entry->port = settings.entriesPort != 0 ? settings.entriesPort : entry->port;
+            settings.entries.push_back(std::move(*entry));
+        }
+    }
+    settings.logSeverity = readSeverity(reader);
+    for (const auto &setting : TimeSettings) {
+        if (const auto value = reader.integer(setting.key, setting.range)) {
+            settings.*setting.member = std::chrono::milliseconds(*value);
+        }
+    }
+    if (const auto value = reader.integer("keep_ended_s", KeepEndedRange)) {
+        settings.keepEnded = std::chrono::seconds(*value);
+    }
+    if (const auto value = reader.integer("remote_factor", RemoteFactorRange)) {
+        settings.remoteFactor = static_cast<double>(*value);
+    }
+    reader.reportUnknownKeys();
+}
+
+} // namespace
+
+std::variant<Settings, base::Findings> parseSettings(const std::string &text, const std::string &source)
+{
+    base::Findings findings;
+    try {
+        const auto root = toml::parse(text, source);
+        Settings settings;
+        TableReader reader(root, "", source, findings);
+        readTop(reader, settings);
+        if (findings.isEmpty()) {
+            return settings;
+        }
+    } catch (const toml::parse_error &error) {
+        const auto &begin = error.source().begin;
+        findings.add(base::Place{source, begin.line, begin.column}, std::string(error.description()));
+    }
+    return findings;
+}
+
+std::variant<Settings, base::Findings> loadSettings(const std::string &path)
+{
+    std::ifstream file(path, std::ios::binary);
+    std::ostringstream text;
+    if (!file || !(text << file.rdbuf())) {
+        base::Findings findings;
+        findings.add(path, "can't be read, or is empty");
+        return findings;
+    }
+    return parseSettings(text.str(), path);
+}
+
+} // namespace plantainfork::batch
--- /dev/null
+++ b/src/batch/workload.cpp
@@ -0,0 +1,585 @@
+#include "batch/workload.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace plantainfork::batch
+{
+
+namespace
+{
+
+constexpr std::uint32_t WholePercent = 100;
+
+std::uint32_t unitsOf(const Step &step)
+{
+    return step.isGang ? 1 : step.tasks;
+}
+
+std::string_view endKindText(EndKind kind)
+{
+    switch (kind) {
+    case EndKind::Done:
+        return "done";
+    case EndKind::Failed:
+        return "failed";
+    case EndKind::Stopped:
+        return "stopped";
+    case EndKind::Lapsed:
+        return "lapsed";
+    case EndKind::Broken:
+        return "broken";
+    case EndKind::Alone:
+        return "alone";
+    case EndKind::Refused:
+        return "refused";
+    case EndKind::Lost:
+        return "lost";
+    }
+    return "unknown";
+}
+
+/** Whether the run's end leaves the unit's members to be stopped. */
+bool hasUnended(const Unit &unit)
+{
+    return std::any_of(unit.members.begin(), unit.members.end(), [](const Member &member) {
+        return member.phase != MemberPhase::Ended;
+    });
+}
+
+} // namespace
+
+std::string_view stopReasonText(StopReason reason)
+{
+    switch (reason) {
+    case StopReason::None:
+        return "none";
+    case StopReason::Cancelled:
+        return "cancelled";
+    case StopReason::JobFailed:
+        return "job_failed";
+    case StopReason::GangBroken:
+        return "gang_broken";
+    case StopReason::Preempted:
+        return "preempted";
+    case StopReason::HostLeaving:
+        return "host_leaving";
+    case StopReason::Stalled:
+        return "stalled";
+    }
+    return "none";
+}
+
+Unit *Job::unit(const TaskId &task)
+{
+    const std::size_t occurrences = std::max<std::size_t>(spec.occurrences, 1);
+    if (task.occurrence >= occurrences || task.step >= spec.steps.size() || task.index >= spec.steps[task.step].tasks) {
+        return nullptr;
+    }
+    return &units[task.occurrence * unitsPerOccurrence + stepOffsets[task.step] + (spec.steps[task.step].isGang ? 0 : task.index)];
+}
+
+bool Job::isStepDone(std::uint32_t occurrence, std::uint32_t step) const
+{
+    const auto begin = units.begin() + static_cast<std::ptrdiff_t>(occurrence * unitsPerOccurrence + stepOffsets[step]);
+    return std::all_of(begin, begin + unitsOf(spec.steps[step]), [](const Unit &unit) {
+        return unit.phase == UnitPhase::Done;
+    });
+}
+
+WallTime Job::dueAt(std::uint32_t occurrence) const
+{
+    return WallTime(std::chrono::milliseconds(spec.firstDueMs)) + occurrence * spec.period;
+}
+
+bool Job::isReady(const Unit &unit, WallTime wallNow) const
+{
+    if (isEnded(status) || unit.phase != UnitPhase::Waiting || unit.isOnHosts()) {
+        return false;
+    }
+    if (spec.occurrences > 0 && wallNow < dueAt(unit.occurrence)) {
+        return false;
+    }
+    const auto &after = spec.steps[unit.step].after;
+    return std::all_of(after.begin(), after.end(), [&](std::uint32_t step) {
+        return isStepDone(unit.occurrence, step);
+    });
+}
+
+TaskId Job::taskOf(const Unit &unit, std::size_t member) const
+{
+    const auto index = spec.steps[unit.step].isGang ? static_cast<std::uint32_t>(member) : unit.index;
+    return {spec.id, unit.occurrence, unit.step, index};
+}
+
+Workload::Workload(base::FencingToken token, WorkloadBounds bounds, Instant termStart)
+    : m_token(token)
+    , m_bounds(bounds)
+    , m_termStart(termStart)
+{
+}
+
+const Queue &Workload::queueOf(const Job &job) const
+{
+    const auto queue = m_policy->queues.find(job.spec.queue);
+    return queue != m_policy->queues.end() ? queue->second : job.acceptedQueue;
+}
+
+void Workload::log(std::string name, std::vector<std::pair<std::string, std::string>> fields)
+{
+    m_events.push_back({std::move(name), std::move(fields)});
+}
+
+std::vector<Event> Workload::takeEvents()
+{
+    return std::exchange(m_events, {});
+}
+
+void Workload::addJob(JobSpec spec, const std::optional<JobState> &state, Instant now, WallTime wallNow)
+{
+    if (m_jobs.contains(spec.id)) {
+        return;
+    }
+    Job &job = m_jobs[spec.id];
+    job.spec = std::move(spec);
+    job.acceptedQueue.id = job.spec.queue;
+    job.acceptedQueue.service = job.spec.service;
+    job.acceptedQueue.priority = job.spec.priority;
+    job.acceptedQueue.mostFailures = job.spec.mostFailures;
+    job.acceptedQueue.slackFactor = job.spec.slackFactor;
+    job.acceptedQueue.latencyTarget = job.spec.latencyTarget;
+    const auto age = wallNow.time_since_epoch() - std::chrono::milliseconds(job.spec.acceptedMs);
+    job.acceptedAt = now - std::clamp<runtime::Clock::duration>(age, runtime::Clock::duration::zero(), std::chrono::hours(1));
+    for (const auto &step : job.spec.steps) {
+        job.stepOffsets.push_back(job.unitsPerOccurrence);
+        job.unitsPerOccurrence += unitsOf(step);
+    }
+    for (std::uint32_t occurrence = 0; occurrence < std::max(job.spec.occurrences, 1U); ++occurrence) {
+        for (std::uint32_t step = 0; step < job.spec.steps.size(); ++step) {
+            for (std::uint32_t index = 0; index < unitsOf(job.spec.steps[step]); ++index) {
+                Unit unit;
+                unit.occurrence = occurrence;
+                unit.step = step;
+                unit.index = index;
+                job.units.push_back(std::move(unit));
+            }
+        }
+    }
+    if (!state) {
+        log("job known", {{"job", job.spec.id.value()}, {"queue", job.spec.queue.value()}, {"workspace", job.spec.workspace.value()}});
+        return;
+    }
+    job.status = state->status;
+    job.endedMs = state->endedMs;
+    for (const auto &record : state->units) {
+        Unit *unit = job.unit({job.spec.id, record.occurrence, record.step, record.index});
+        if (unit == nullptr) {
+            log("unit record without a unit", {{"job", job.spec.id.value()}, {"step", std::to_string(record.step)}});
+            continue;
+        }
+        unit->attempt = record.attempt;
+        unit->failures = record.failures;
+        unit->checkpoint = record.checkpoint;
+        unit->phase = record.isDone ? UnitPhase::Done : record.members.empty() ? UnitPhase::Waiting : UnitPhase::Placed;
+        for (const auto &place : record.members) {
+            Member member;
+            member.host = place.host;
+            member.incarnation = place.incarnation;
+            member.orderedAt = member.startedAt = member.progressedAt = now;
+            unit->members.push_back(std::move(member));
+        }
+        if (isEnded(job.status) && !unit->members.empty()) {
+            unit->stopping = job.status == JobStatus::Failed ? StopReason::JobFailed : StopReason::Cancelled;
+        }
+    }
+    log("job restored", {{"job", job.spec.id.value()}, {"status", std::to_string(static_cast<int>(job.status))}});
+}
+
+void Workload::cancelJob(const base::JobId &id, WallTime wallNow)
+{
+    const auto found = m_jobs.find(id);
+    if (found == m_jobs.end() || isEnded(found->second.status)) {
+        return;
+    }
+    found->second.isCancelled = true;
+    endJob(found->second, JobStatus::Cancelled, wallNow);
+}
+
+void Workload::forgetJob(const base::JobId &id)
+{
+    m_jobs.erase(id);
+}
+
+void Workload::endJob(Job &job, JobStatus status, WallTime wallNow)
+{
+    job.status = status;
+    job.endedMs = wallNow.time_since_epoch().count();
+    job.isDirty = true;
+    log("job ended",
+        {{"job", job.spec.id.value()},
+         {"status",
+          status == JobStatus::Complete     ? "complete"
+              : status == JobStatus::Failed ? "failed"
+                                            : "cancelled"},
+         {"age_ms", std::to_string(job.endedMs - job.spec.acceptedMs)}});
+    for (auto &unit : job.units) {
+        if (unit.phase == UnitPhase::Placed) {
+            stop({&job, &unit}, status == JobStatus::Failed ? StopReason::JobFailed : StopReason::Cancelled);
+        }
+    }
+}
+
+void Workload::finishJobIfDone(Job &job, WallTime wallNow)
+{
+    const bool isDone = std::all_of(job.units.begin(), job.units.end(), [](const Unit &unit) {
+        return unit.phase == UnitPhase::Done;
+    });
+    if (isDone && !isEnded(job.status)) {
+        endJob(job, JobStatus::Complete, wallNow);
+    }
+}
+
+void Workload::place(UnitRef ref, const std::vector<HostId> &hosts, Instant now)
+{
+    Unit &unit = *ref.unit;
+    unit.phase = UnitPhase::Placed;
+    unit.attempt = unit.attempt.next();
+    unit.stopping = StopReason::None;
+    std::string names;
+    for (const auto &id : hosts) {
+        Host &host = m_hosts.at(id);
+        Member member;
+        member.host = id;
+        member.incarnation = host.report.incarnation;
+        member.percent = unit.savedPercent;
+        member.orderedAt = member.startedAt = member.progressedAt = now;
+        unit.members.push_back(std::move(member));
+        names += (names.empty() ? "" : ",") + id.value();
+    }
+    if (ref.job->status == JobStatus::Queued) {
+        ref.job->status = JobStatus::Active;
+    }
+    ref.job->isDirty = true;
+    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - ref.job->acceptedAt);
+    log("unit placed",
+        {{"job", ref.job->spec.id.value()},
+         {"unit", ref.job->taskOf(unit, 0).text()},
+         {"attempt", std::to_string(unit.attempt.value())},
+         {"hosts", names},
+         {"priority", std::to_string(priorityOf(*ref.job))},
+         {"age_ms", std::to_string(age.count())}});
+}
+
+void Workload::stop(UnitRef ref, StopReason reason)
+{
+    Unit &unit = *ref.unit;
+    if (unit.phase != UnitPhase::Placed || unit.stopping != StopReason::None) {
+        return;
+    }
+    unit.stopping = reason;
+    log("unit stopping",
+        {{"job", ref.job->spec.id.value()},
+         {"unit", ref.job->taskOf(unit, 0).text()},
+         {"attempt", std::to_string(unit.attempt.value())},
+         {"reason", std::string(stopReasonText(reason))}});
+}
+
+std::optional<std::pair<UnitRef, std::size_t>> Workload::find(const RunId &run, const HostId &host)
+{
+    const auto job = m_jobs.find(run.task.job);
+    if (job == m_jobs.end()) {
+        return std::nullopt;
+    }
+    Unit *unit = job->second.unit(run.task);
+    if (unit == nullptr || unit->attempt != run.attempt) {
+        return std::nullopt;
+    }
+    const std::size_t member = job->second.memberIndex(run.task);
+    if (member >= unit->members.size() || unit->members[member].host != host) {
+        return std::nullopt;
+    }
+    return std::pair(UnitRef{&job->second, unit}, member);
+}
+
+bool Workload::hear(const SyncCall &call, Instant now, WallTime wallNow)
+{
+    Host &host = m_hosts[call.host];
+    if (host.id.isEmpty()) {
+        host.id = call.host;
+        log("host heard", {{"host", call.host.value()}});
+    }
+    const bool isOld = call.agentIncarnation < host.agentIncarnation || (call.agentIncarnation == host.agentIncarnation && call.sequence <= host.sequence);
+    if (isOld) {
+        return false;
+    }
+    host.agentIncarnation = call.agentIncarnation;
+    host.sequence = call.sequence;
+    host.heardAt = now;
+    if (!call.hasReport) {
+        return true;
+    }
+    takeReport(host, call, now, wallNow);
+    if (call.listToken != m_token) {
+        return true;
+    }
+    if (!host.isListed) {
+        host.isListed = true;
+        log("host listed", {{"host", call.host.value()}, {"running", std::to_string(call.running.size())}, {"ended", std::to_string(call.ended.size())}});
+    }
+    takeRunning(host, call, now);
+    takeEnds(host, call, now, wallNow);
+    takeBarred(host, call, now, wallNow);
+    return true;
+}
+
+void Workload::takeReport(Host &host, const SyncCall &call, Instant now, WallTime wallNow)
+{
+    const bool isNew = !host.hasReport || host.report.incarnation != call.report.incarnation;
+    if (host.hasReport && host.report.isDraining != call.report.isDraining) {
+        log("host draining", {{"host", host.id.value()}, {"is_draining", call.report.isDraining ? "true" : "false"}});
+    }
+    host.report = call.report;
+    host.hasReport = true;
+    if (isNew) {
+        host.isListed = false;
+        host.processedEnds = 0;
+        host.strays.clear();
+        host.failuresInRow = 0;
+        host.suspendedUntil = Instant();
+        loseMembers(host.id, &host.report.incarnation, now, wallNow, "executor restarted");
+    }
+}
+
+void Workload::takeRunning(Host &host, const SyncCall &call, Instant now)
+{
+    std::set<RunId> strays;
+    for (const auto &running : call.running) {
+        const auto found = find(running.run, host.id);
+        if (!found || found->first.unit->members[found->second].phase == MemberPhase::Ended) {
+            strays.insert(running.run);
+            continue;
+        }
+        Unit &unit = *found->first.unit;
+        Member &member = unit.members[found->second];
+        if (member.phase == MemberPhase::Ordered) {
+            member.phase = MemberPhase::Running;
+            member.startedAt = member.progressedAt = now;
+        }
+        if (running.percent != member.percent) {
+            member.percent = running.percent;
+            member.progressedAt = now;
+        }
+        if (!running.checkpoint.empty() && running.checkpoint != unit.checkpoint) {
+            unit.checkpoint = running.checkpoint;
+            unit.savedPercent = running.percent;
+        }
+    }
+    for (const auto &run : strays) {
+        if (!host.strays.contains(run)) {
+            log("run unknown, to be stopped", {{"job", run.task.job.value()}, {"task", run.task.text()}, {"host", host.id.value()}});
+        }
+    }
+    host.strays = std::move(strays);
+}
+
+void Workload::takeEnds(Host &host, const SyncCall &call, Instant now, WallTime wallNow)
+{
+    for (const auto &ended : call.ended) {
+        if (ended.number <= host.processedEnds) {
+            continue;
+        }
+        host.processedEnds = ended.number;
+        if (const auto found = find(ended.run, host.id)) {
+            endMember(*found->first.job, *found->first.unit, found->second, ended.kind, ended.checkpoint, now, wallNow);
+        }
+    }
+}
+
+void Workload::takeBarred(Host &host, const SyncCall &call, Instant now, WallTime wallNow)
+{
+    for (const auto &run : call.barred) {
+        if (const auto found = find(run, host.id)) {
+            endMember(*found->first.job, *found->first.unit, found->second, EndKind::Refused, "", now, wallNow);
+        }
+    }
+}
+
+void Workload::loseMembers(const HostId &host, const HostIncarnation *onlyOther, Instant now, WallTime wallNow, std::string_view why)
+{
+    for (auto &[id, job] : m_jobs) {
+        for (auto &unit : job.units) {
+            for (std::size_t i = 0; i < unit.members.size(); ++i) {
+                const Member &member = unit.members[i];
+                const bool isMeant = member.host == host && member.phase != MemberPhase::Ended && (onlyOther == nullptr || member.incarnation != *onlyOther);
+                if (isMeant) {
+                    log("run lost", {{"job", id.value()}, {"task", job.taskOf(unit, i).text()}, {"host", host.value()}, {"why", std::string(why)}});
+                    endMember(job, unit, i, EndKind::Lost, "", now, wallNow);
+                    break;
+                }
+            }
+        }
+    }
+}
+
+void Workload::expireSilentHosts(Instant now, WallTime wallNow)
+{
+    const auto limit = m_bounds.longestGrant + m_bounds.grantSlack;
+    std::set<HostId> silent;
+    for (const auto &[id, job] : m_jobs) {
+        for (const auto &unit : job.units) {
+            for (const auto &member : unit.members) {
+                const auto host = m_hosts.find(member.host);
+                const Instant heard = host == m_hosts.end() ? m_termStart : std::max(host->second.heardAt, m_termStart);
+                if (member.phase != MemberPhase::Ended && now - heard > limit) {
+                    silent.insert(member.host);
+                }
+            }
+        }
+    }
+    for (const auto &host : silent) {
+        loseMembers(host, nullptr, now, wallNow, "agent silent for longer than its grant");
+        if (const auto found = m_hosts.find(host); found != m_hosts.end()) {
+            found->second.isListed = false;
+        }
+    }
+}
+
+void Workload::endMember(Job &job, Unit &unit, std::size_t index, EndKind kind, const std::string &checkpoint, Instant now, WallTime wallNow)
+{
+    Member &member = unit.members[index];
+    if (member.phase == MemberPhase::Ended) {
+        return;
+    }
+    member.phase = MemberPhase::Ended;
+    member.end = kind;
+    job.isDirty = true;
+    if (!checkpoint.empty()) {
+        unit.checkpoint = checkpoint;
+        unit.savedPercent = std::max(unit.savedPercent, std::min(member.percent, WholePercent - 1));
+    }
+    log("run ended",
+        {{"job", job.spec.id.value()},
+         {"task", job.taskOf(unit, index).text()},
+         {"attempt", std::to_string(unit.attempt.value())},
+         {"host", member.host.value()},
+         {"how", std::string(endKindText(kind))},
+         {"ran_ms", std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(now - member.startedAt).count())}});
+    const bool isLastingRun = job.stepOf(unit).isLasting;
+    if (kind == EndKind::Done) {
+        m_hosts[member.host].failuresInRow = 0;
+        if (!isLastingRun) {
+            unit.phase = UnitPhase::Done;
+        }
+    }
+    if (kind == EndKind::Failed) {
+        countFailure(job, unit, member, now);
+    }
+    settleUnit(job, unit, now, wallNow);
+}
+
+void Workload::countFailure(Job &job, Unit &unit, const Member &member, Instant now)
+{
+    Host &host = m_hosts[member.host];
+    const bool failedElsewhere = std::any_of(unit.avoided.begin(), unit.avoided.end(), [&](const HostId &other) {
+        return other != member.host;
+    });
+    unit.avoided.insert(member.host);
+    if (!failedElsewhere) {
+        ++host.failuresInRow;
+    }
+    if (host.failuresInRow >= m_bounds.failuresToSuspend && now >= host.suspendedUntil) {
+        host.suspendedUntil = now + m_bounds.suspension;
+        log("host suspended", {{"host", member.host.value()}, {"failures", std::to_string(host.failuresInRow)}, {"job", job.spec.id.value()}});
+    }
+}
+
+void Workload::settleUnit(Job &job, Unit &unit, Instant, WallTime wallNow)
+{
+    if (unit.phase == UnitPhase::Placed && hasUnended(unit)) {
+        stop({&job, &unit}, StopReason::GangBroken);
+        return;
+    }
+    if (unit.phase == UnitPhase::Done) {
+        if (!hasUnended(unit)) {
+            unit.members.clear();
+        }
+        finishJobIfDone(job, wallNow);
+        return;
+    }
+    const bool hasFailed = std::any_of(unit.members.begin(), unit.members.end(), [](const Member &member) {
+        return member.end == EndKind::Failed;
+    });
+    unit.members.clear();
+    unit.stopping = StopReason::None;
+    unit.phase = UnitPhase::Waiting;
+    if (!job.stepOf(unit).hasCheckpoints) {
+        unit.savedPercent = 0;
+    }
+    unit.failures += hasFailed ? 1 : 0;
+    if (hasFailed && unit.failures >= queueOf(job).mostFailures && !job.stepOf(unit).isLasting && !isEnded(job.status)) {
+        endJob(job, JobStatus::Failed, wallNow);
+    }
+}
+
+Orders Workload::ordersFor(const Host &host) const
+{
+    Orders orders;
+    orders.version = host.ordersVersion;
+    orders.incarnation = host.report.incarnation;
+    orders.acknowledged = host.processedEnds;
+    orders.stops.assign(host.strays.begin(), host.strays.end());
+    for (const auto &[id, job] : m_jobs) {
+        for (const auto &unit : job.units) {
+            if (unit.phase != UnitPhase::Placed) {
+                continue;
+            }
+            for (std::size_t i = 0; i < unit.members.size(); ++i) {
+                const Member &member = unit.members[i];
+                if (member.host != host.id || member.phase == MemberPhase::Ended) {
+                    continue;
+                }
+                const RunId run{job.taskOf(unit, i), unit.attempt};
+                if (unit.stopping != StopReason::None) {
+                    orders.stops.push_back(run);
+                } else {
+                    orders.runs.push_back({run, job.spec.payload, unit.checkpoint});
+                }
+            }
+        }
+    }
+    return orders;
+}
+
+JobState Workload::recordOf(const Job &job) const
+{
+    JobState state;
+    state.status = job.status;
+    state.endedMs = job.endedMs;
+    for (const auto &unit : job.units) {
+        if (unit.attempt == Attempt() && unit.phase == UnitPhase::Waiting) {
+            continue;
+        }
+        UnitRecord record;
+        record.occurrence = unit.occurrence;
+        record.step = unit.step;
+        record.index = unit.index;
+        record.isDone = unit.phase == UnitPhase::Done;
+        record.attempt = unit.attempt;
+        record.failures = unit.failures;
+        if (!record.isDone) {
+            record.checkpoint = unit.checkpoint;
+            for (const auto &member : unit.members) {
+                record.members.push_back({member.host, member.incarnation});
+            }
+        }
+        state.units.push_back(std::move(record));
+    }
+    return state;
+}
+
+bool Workload::isInTouch(const Host &host, Instant now) const
+{
+    return host.hasReport && host.isListed && now - host.heardAt <= TouchLimit;
+}
+
+} // namespace plantainfork::batch
--- a/src/log/log.cpp
+++ b/src/log/log.cpp
@@ -69,7 +69,7 @@
         : m_sink(boost::make_shared<Sink>())
     {
         auto backend = m_sink->locked_backend();
-        backend->add_stream(boost::shared_ptr<std::ostream>(&std::clog, boost::null_deleter()));
+        backend->add_stream(boost::shared_ptr<std::ostream>(&std::cout, boost::null_deleter()));
         backend->auto_flush(true);
         m_sink->set_formatter(&formatRecord);
         m_sink->set_filter(boost::log::expressions::attr<Severity>("Severity") >= Severity::Info);
--- a/src/log/log.h
+++ b/src/log/log.h
@@ -1,4 +1,4 @@
-/** Lines for changes of state, as key=value fields on standard error. Boost.Log stays within this folder. */
+/** Lines for changes of state, as key=value fields on standard output. Boost.Log stays within this folder. */
 #pragma once
 
 #include <string>
--- a/src/store/consul_json.cpp
+++ b/src/store/consul_json.cpp
@@ -22,6 +22,8 @@
         return "lock";
     case Write::Kind::Unlock:
         return "unlock";
+    case Write::Kind::Check:
+        return "check-index";
     }
     return "";
 }
@@ -35,6 +37,7 @@
         operation["Index"] = write.expected.value();
         break;
     case Write::Kind::Remove:
+    case Write::Kind::Check:
         operation["Index"] = write.expected.value();
         break;
     case Write::Kind::Lock:
--- a/src/store/key_value.h
+++ b/src/store/key_value.h
@@ -41,6 +41,14 @@
     std::vector<KeyValue> entries;
 };
 
+/** What has changed under a prefix since an index, in order. */
+struct Changes {
+    /** Where the next call continues. */
+    Index index;
+    std::vector<KeyValue> written;
+    std::vector<std::string> removed;
+};
+
 /** One conditional write. */
 struct Write {
     enum class Kind {
@@ -52,6 +60,8 @@
         Lock,
         /** Gives the lock up, if `session` holds it. */
         Unlock,
+        /** Writes nothing; the whole fails unless the key's modified index equals `expected`. */
+        Check,
     };
 
     Kind kind = Kind::Set;
@@ -109,4 +119,17 @@
         } -> std::same_as<boost::asio::awaitable<absl::Status>>;
 };
 
+/** A store that also tells single changes, so that a watcher of many keys needn't read all of them again. */
+template<typename T>
+concept ChangeFeed = KeyValueStore<T> && requires(T store, std::string prefix, Index index, std::chrono::milliseconds wait)
+{
+    /**
+     * Returns as soon as anything under the prefix is newer than the index, or with nothing after the wait. OutOfRange: the store
+     * no longer has that history, and the prefix must be read anew.
+     */
+    {
+        store.followPrefix(prefix, index, wait)
+        } -> std::same_as<boost::asio::awaitable<absl::StatusOr<Changes>>>;
+};
+
 } // namespace plantainfork::store
--- a/tests/support/memory_store.h
+++ b/tests/support/memory_store.h
@@ -49,6 +49,26 @@
         return result;
     }
 
+    /** What is newer than the index under a prefix. */
+    store::Changes changesSince(const std::string &prefix, store::Index after)
+    {
+        store::Changes changes;
+        const store::ReadResult all = read(prefix, true);
+        changes.index = all.index;
+        for (const auto &entry : all.entries) {
+            if (entry.modified > after) {
+                changes.written.push_back(entry);
+            }
+        }
+        const std::scoped_lock lock(m_mutex);
+        for (const auto &[index, key] : m_removed) {
+            if (index > after && key.starts_with(prefix)) {
+                changes.removed.push_back(key);
+            }
+        }
+        return changes;
+    }
+
     store::WriteResult transact(const std::vector<store::Write> &writes)
     {
         const std::scoped_lock lock(m_mutex);
@@ -111,6 +131,7 @@
         const auto found = m_entries.find(write.key);
         const bool exists = found != m_entries.end();
         switch (write.kind) {
+        case store::Write::Kind::Check:
         case store::Write::Kind::Set:
             return (exists ? found->second.modified : store::Index()) == write.expected;
         case store::Write::Kind::Remove:
@@ -125,8 +146,12 @@
 
     void apply(const store::Write &write, store::WriteResult &result)
     {
+        if (write.kind == store::Write::Kind::Check) {
+            return;
+        }
         if (write.kind == store::Write::Kind::Remove) {
             m_entries.erase(write.key);
+            m_removed.emplace_back(store::Index(m_index), write.key);
             return;
         }
         store::KeyValue &entry = m_entries[write.key];
@@ -180,6 +205,8 @@
 
     std::mutex m_mutex;
     std::map<std::string, store::KeyValue> m_entries;
+    /** Removals so far, in order. */
+    std::vector<std::pair<store::Index, std::string>> m_removed;
     std::map<store::SessionId, Session> m_sessions;
     std::list<std::weak_ptr<runtime::Timer>> m_waiting;
     std::uint64_t m_index = 1;
@@ -278,6 +305,28 @@
         }
     }
 
+    boost::asio::awaitable<absl::StatusOr<store::Changes>> followPrefix(std::string prefix, store::Index after, std::chrono::milliseconds wait)
+    {
+        const runtime::Instant until = runtime::Clock::now() + wait;
+        const absl::Status arrived = co_await arrive(until + wait);
+        if (!arrived.ok()) {
+            co_return arrived;
+        }
+        while (true) {
+            const auto timer = std::make_shared<runtime::Timer>(co_await boost::asio::this_coro::executor, until);
+            m_data->subscribe(timer);
+            store::Changes changes = m_data->changesSince(prefix, after);
+            if (m_isDown) {
+                co_return absl::UnavailableError("store is down");
+            }
+            if (!changes.written.empty() || !changes.removed.empty() || runtime::Clock::now() >= until) {
+                co_return changes;
+            }
+            boost::system::error_code ignored;
+            co_await timer->async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+        }
+    }
+
     boost::asio::awaitable<store::WriteResult> transact(std::vector<store::Write> writes, runtime::Instant deadline)
     {
         ++m_writes;
@@ -360,6 +409,6 @@
     std::atomic<int> m_writes{0};
 };
 
-static_assert(store::KeyValueStore<MemoryStore>);
+static_assert(store::ChangeFeed<MemoryStore>);
 
 } // namespace plantainfork::tests
