--- a/src/batch/planner.cpp
+++ b/src/batch/planner.cpp
@@ -18,6 +18,12 @@
 constexpr double WholePercent = 100.0;
 /** A task that has shown no progress yet is assumed to need at least this much longer. */
 constexpr std::chrono::milliseconds LeastRemaining{100};
+/** A run beyond its estimate is expected to take this part of its time so far on top. */
+constexpr int OverdueShare = 4;
+/** Percent of progress since the last checkpoint from which a run's speed is taken. */
+constexpr std::uint32_t LeastProgress = 5;
+/** Progress older than this doesn't show that a run is still moving: listings come once a second, and travel. */
+constexpr std::chrono::milliseconds ProgressAge{2500};
 /** Price of an avoided host beside other costs, in seconds of work. */
 constexpr double AvoidedHostCost = 30.0;
 /** An accelerator counts as this many cores when work is weighed. */
@@ -149,13 +155,22 @@
         const Duration estimate = job.stepOf(unit).estimate;
         const Duration elapsed = m_now - member.startedAt;
         const double gained = static_cast<double>(member.percent) - static_cast<double>(unit.savedPercent);
-        if (member.phase == MemberPhase::Running && gained >= 5.0) {
+        if (member.phase == MemberPhase::Running && gained >= LeastProgress) {
             const Duration atProgress = member.progressedAt - member.startedAt;
             const Duration whole = scaled(atProgress, (WholePercent - static_cast<double>(member.percent)) / gained);
             return std::max<Duration>(whole - (m_now - member.progressedAt), LeastRemaining);
         }
         const Duration left = scaled(estimate, 1.0 - static_cast<double>(unit.savedPercent) / WholePercent);
-        return std::max<Duration>(left - elapsed, LeastRemaining);
+        // A run beyond its estimate says that the estimate was short: expect it to go on in proportion.
+        return std::max<Duration>(left - elapsed, elapsed / OverdueShare);
+    }
+
+    /** Whether its progress, and not only an estimate, shows that the task ends within the time of a stop. */
+    [[nodiscard]] bool isAboutToEnd(const Job &job, const Unit &unit, const Member &member) const
+    {
+        const bool hasProgress = member.phase == MemberPhase::Running && member.percent >= unit.savedPercent + LeastProgress;
+        const bool isMoving = m_now - member.progressedAt <= ProgressAge;
+        return hasProgress && isMoving && remaining(job, unit, member) <= m_bounds.killGrace;
     }
 
     [[nodiscard]] double unsavedWork(const Job &job, const Unit &unit) const
@@ -183,14 +198,15 @@
                 occupant.ref = {&job, &unit};
                 occupant.isLeavingAnyway = unit.stopping != StopReason::None || unit.phase == UnitPhase::Done;
                 occupant.endsAt = m_now;
+                bool isEnding = true;
                 for (const auto &member : unit.members) {
                     occupant.endsAt = std::max(occupant.endsAt, m_now + remaining(job, unit, member));
+                    isEnding = isEnding && isAboutToEnd(job, unit, member);
                 }
                 if (occupant.isLeavingAnyway) {
                     occupant.endsAt = m_now + m_bounds.killGrace;
-                } else if (occupant.endsAt <= m_now + m_bounds.killGrace) {
-                    occupant.isLeavingAnyway = true;
                 }
+                occupant.isLeavingAnyway = occupant.isLeavingAnyway || isEnding;
                 occupant.unsaved = unsavedWork(job, unit);
                 occupant.standing = m_entitled.contains(&job) ? 0 : isUrgent ? 1 : 2;
                 addOccupant(occupant, job, unit);
