batch: Let agents seek the successor of a scheduler whose lease is in doubt

Change: replies say when the lease may have lapsed; agents then ask the other entries too, and go to the highest token. Ruled out: refusing agents at once when the lease is in doubt, which would end grants in an outage of the whole store.

--- a/src/batch/agent.h
+++ b/src/batch/agent.h
@@ -115,6 +115,7 @@
         , m_entries(settings.entries)
         , m_changed(executor)
         , m_ordered(executor)
+        , m_doubted(executor)
         , m_starts(metrics.counter("plantainfork_batch_starts_total"))
         , m_holdFailures(metrics.counter("plantainfork_batch_hold_failures_total"))
         , m_startSeconds(metrics.histogram("plantainfork_batch_start_seconds"))
@@ -129,6 +130,7 @@
         asio::co_spawn(m_executor, pollLeader(self), asio::detached);
         asio::co_spawn(m_executor, reportChanges(self), asio::detached);
         asio::co_spawn(m_executor, holdExecutor(self), asio::detached);
+        asio::co_spawn(m_executor, seekSuccessor(self), asio::detached);
     }
 
     /** What the executor says of itself. Older reports of the same incarnation must be sorted out by the caller. */
@@ -257,30 +259,61 @@
     asio::awaitable<bool> callLeader(std::chrono::milliseconds wait)
     {
         const auto target = m_leader.port != 0 ? m_leader : nextEntry();
+        const bool isReached = co_await callEntry(target, wait);
+        co_return isReached;
+    }
+
+    /** Returns whether the entry is in office as far as it knows. */
+    asio::awaitable<bool> callEntry(wire::Address target, std::chrono::milliseconds wait)
+    {
         if (target.port == 0) {
             co_return false;
         }
         const auto sent = runtime::Clock::now();
         const auto channel = m_channels.to(target);
-        const auto result = co_await rpc::call(*channel, describe(wait), sent + CallTimeout);
+        const SyncCall call = describe(wait);
+        const auto result = co_await rpc::call(*channel, call, sent + CallTimeout);
         if (!result.reply.ok()) {
-            if (m_isInTouch || !m_hasTried) {
-                log::write(log::Severity::Warning,
-                           "scheduler not reached",
-                           {{"address", target.host}, {"reason", std::string(result.reply.status().message())}});
-            }
-            m_hasTried = true;
-            m_isInTouch = false;
-            m_leader = target == m_leader ? wire::Address() : m_leader;
+            noteUnreached(target, result.reply.status());
             co_return false;
         }
         takeReply(*result.reply, target, sent);
-        if (!result.reply->isLeader) {
+        if (!result.reply->isLeader && target != m_leader) {
             co_await runtime::sleepFor(RetryDelay);
         }
         co_return result.reply->isLeader;
     }
 
+    void noteUnreached(const wire::Address &target, const absl::Status &status)
+    {
+        if (target != m_leader && m_leader.port != 0) {
+            return;
+        }
+        if (m_isInTouch || !m_hasTried) {
+            log::write(log::Severity::Warning, "scheduler not reached", {{"address", target.host}, {"reason", std::string(status.message())}});
+        }
+        m_hasTried = true;
+        m_isInTouch = false;
+        m_leader = {};
+    }
+
+    /** While the scheduler can't be sure of its office, asks the other entries who holds it. */
+    asio::awaitable<void> seekSuccessor([[maybe_unused]] std::shared_ptr<Agent> self)
+    {
+        while (true) {
+            co_await m_doubted.waitUntil(runtime::Clock::now() + std::chrono::hours(1));
+            while (m_isDoubtful && m_entries.size() > 1) {
+                auto other = nextEntry();
+                if (other == m_leader) {
+                    other = nextEntry();
+                }
+                const std::chrono::milliseconds noWait(0);
+                co_await callEntry(other, noWait);
+                co_await runtime::sleepFor(RetryDelay);
+            }
+        }
+    }
+
     void takeReply(const SyncReply &reply, const wire::Address &from, runtime::Instant sent)
     {
         for (const auto &entry : reply.entries) {
@@ -288,20 +321,25 @@
                 m_entries.push_back(entry);
             }
         }
+        const bool isFromLeader = from == m_leader || m_leader.port == 0;
         if (!reply.isLeader) {
-            m_leader = reply.leader == from ? wire::Address() : reply.leader;
+            const bool isHint = reply.leader.port != 0 && reply.leader != from;
+            if (isFromLeader || (m_isDoubtful && isHint)) {
+                m_leader = isHint ? reply.leader : wire::Address();
+            }
             return;
         }
         if (reply.token < m_token) {
             log::write(log::Severity::Info,
                        "older scheduler ignored",
                        {{"token", std::to_string(reply.token.value())}, {"known", std::to_string(m_token.value())}});
-            m_leader = {};
+            m_leader = isFromLeader ? wire::Address() : m_leader;
             return;
         }
         if (!m_isInTouch || reply.token != m_token) {
             log::write(log::Severity::Info, "scheduler reached", {{"address", from.host}, {"token", std::to_string(reply.token.value())}});
         }
+        noteDoubt(reply.isDoubtful);
         m_isInTouch = true;
         m_leader = from;
         m_authorityUntil = std::max(m_authorityUntil, sent + reply.grant);
@@ -312,6 +350,17 @@
         takeOrders(reply);
     }
 
+    void noteDoubt(bool isDoubtful)
+    {
+        if (isDoubtful != m_isDoubtful) {
+            log::write(log::Severity::Info, "scheduler's lease", {{"is_doubtful", isDoubtful ? "true" : "false"}});
+        }
+        m_isDoubtful = isDoubtful;
+        if (isDoubtful) {
+            m_doubted.notify();
+        }
+    }
+
     void takeOrders(const SyncReply &reply)
     {
         const bool isNewer = reply.token != m_ordersToken || reply.orders.version > m_orders.version;
@@ -622,6 +671,9 @@
     std::uint64_t m_toldVersion = 0;
     runtime::Signal m_changed;
     runtime::Signal m_ordered;
+    /** The scheduler in office can't be sure that it still is. */
+    bool m_isDoubtful = false;
+    runtime::Signal m_doubted;
     metrics::Counter &m_starts;
     metrics::Counter &m_holdFailures;
     metrics::Histogram &m_startSeconds;
--- a/src/batch/messages.h
+++ b/src/batch/messages.h
@@ -43,6 +43,8 @@
 struct SyncReply {
     /** False: `leader` says who may be asked instead. */
     bool isLeader = false;
+    /** The scheduler's lease may have lapsed: another one may be in office by now. */
+    bool isDoubtful = false;
     wire::Address leader;
     base::FencingToken token;
     Orders orders;
@@ -50,7 +52,7 @@
     std::chrono::milliseconds grant{0};
     std::vector<wire::Address> entries;
 
-    MSGPACK_DEFINE_MAP(isLeader, leader, token, orders, grant, entries);
+    MSGPACK_DEFINE_MAP(isLeader, isDoubtful, leader, token, orders, grant, entries);
 };
 
 struct SyncCall {
--- a/src/batch/scheduler.h
+++ b/src/batch/scheduler.h
@@ -200,6 +200,7 @@
     {
         SyncReply reply;
         reply.isLeader = true;
+        reply.isDoubtful = runtime::Clock::now() > term.leaseUntil;
         reply.leader = m_settings.rpc;
         reply.token = term.token;
         reply.entries = m_entries;
