batch: Move work off leaving hosts, record checkpoints, count late ends

Change: units that a draining host won't let finish are stopped once they can start elsewhere, or in time to save; a goodbye ends the host's runs; running units' checkpoints are recorded every 2 s; failures are kept as the set of failed attempts.

--- a/src/batch/agent.h
+++ b/src/batch/agent.h
@@ -163,6 +163,8 @@
     {
         if (m_report && m_report->incarnation.instance == instance) {
             log::write(log::Severity::Info, "executor left", {{"instance", instance}});
+            m_report->hasLeft = true;
+            noteChange();
         }
     }
 
--- a/src/batch/model.h
+++ b/src/batch/model.h
@@ -227,8 +227,10 @@
     /** Takes nothing new; what runs may end by itself within `remaining`. */
     bool isDraining = false;
     std::chrono::milliseconds remaining{0};
+    /** It has said goodbye: nothing runs there any more. */
+    bool hasLeft = false;
 
-    MSGPACK_DEFINE(incarnation, service, dataCentre, capacity, labels, isDraining, remaining);
+    MSGPACK_DEFINE(incarnation, service, dataCentre, capacity, labels, isDraining, remaining, hasLeft);
 };
 
 /** A queue of callers' jobs, as the operator defines it. */
--- a/src/batch/planner.cpp
+++ b/src/batch/planner.cpp
@@ -24,6 +24,8 @@
 constexpr std::uint32_t LeastProgress = 5;
 /** Progress older than this doesn't show that a run is still moving: listings come once a second, and travel. */
 constexpr std::chrono::milliseconds ProgressAge{2500};
+/** Time kept for the order to stop and for its end to be heard before a host leaves. */
+constexpr std::chrono::milliseconds SaveMargin{500};
 /** Price of an avoided host beside other costs, in seconds of work. */
 constexpr double AvoidedHostCost = 30.0;
 /** An accelerator counts as this many cores when work is weighed. */
@@ -81,6 +83,8 @@
     int lateness = 0;
     Instant latestStart;
     Duration runTime{};
+    /** Work of the whole job in weighted seconds. */
+    double jobWork = 0;
 
     [[nodiscard]] int standing() const
     {
@@ -88,7 +92,17 @@
     }
     [[nodiscard]] auto key() const
     {
-        return std::tuple(!isEntitled, priority, lateness, latestStart, ref.job->spec.id.value(), ref.unit->occurrence, ref.unit->step, ref.unit->index);
+        // Those that can all be in time go by their latest start. Where there isn't room for all, small jobs first serve more callers.
+        const bool isBySize = !isEntitled && (priority == 0 || lateness > 0);
+        return std::tuple(!isEntitled,
+                          priority,
+                          lateness,
+                          isBySize ? jobWork : 0.0,
+                          latestStart,
+                          ref.job->spec.id.value(),
+                          ref.unit->occurrence,
+                          ref.unit->step,
+                          ref.unit->index);
     }
 };
 
@@ -130,6 +144,7 @@
         for (const auto &candidate : m_candidates) {
             decide(candidate);
         }
+        moveOffLeavingHosts();
         return std::move(m_plan);
     }
 
@@ -235,6 +250,52 @@
         }
     }
 
+    /**
+     * Stops units that a draining host won't let finish: at once when they can start elsewhere now, else just in time to keep their
+     * last checkpoint.
+     */
+    void moveOffLeavingHosts()
+    {
+        for (std::size_t i = 0; i < m_occupants.size(); ++i) {
+            const Occupant &occupant = m_occupants[i];
+            const auto leaving = occupant.isLeavingAnyway || m_stopped.contains(i) ? std::nullopt : leavingAt(occupant);
+            if (!leaving || occupant.endsAt <= *leaving) {
+                continue;
+            }
+            const bool isLastChance = m_now + m_bounds.killGrace + SaveMargin >= *leaving;
+            if ((isLastChance && occupant.ref.step().hasCheckpoints) || canRestart(occupant)) {
+                m_stopped.insert(i);
+                m_plan.stops.push_back({occupant.ref, StopReason::HostLeaving});
+            }
+        }
+    }
+
+    /** The earliest time at which a host of the unit may be gone. */
+    [[nodiscard]] std::optional<Instant> leavingAt(const Occupant &occupant) const
+    {
+        std::optional<Instant> earliest;
+        for (const auto &member : occupant.ref.unit->members) {
+            const auto host = m_workload.hosts().find(member.host);
+            if (host != m_workload.hosts().end() && host->second.report.isDraining) {
+                earliest = earliest ? std::min(*earliest, host->second.staysUntil) : host->second.staysUntil;
+            }
+        }
+        return earliest;
+    }
+
+    [[nodiscard]] bool canRestart(const Occupant &occupant) const
+    {
+        const Candidate again = candidate(*occupant.ref.job, *occupant.ref.unit);
+        std::vector<std::size_t> hosts;
+        for (std::size_t i = 0; i < m_hosts.size(); ++i) {
+            if (allows(m_hosts[i], again)) {
+                hosts.push_back(i);
+            }
+        }
+        const bool isOneRack = again.ref.step().isGang && again.ref.step().wantsOneRack && fitsOneRack(again, hosts);
+        return bestFit(again, hosts, Means::Free, isOneRack).has_value();
+    }
+
     [[nodiscard]] Duration estimatedRun(const Step &step) const
     {
         return step.estimate;
@@ -327,6 +388,9 @@
         if (job.spec.occurrences > 0) {
             base = m_now - (m_wallNow - job.dueAt(unit.occurrence));
         }
+        for (const auto &step : job.spec.steps) {
+            result.jobWork += seconds(step.estimate) * weight(step.need) * step.tasks;
+        }
         const Duration chain = chainFrom(job, unit.step);
         result.latestStart = base + objective - chain;
         result.lateness = m_now <= result.latestStart ? 0 : m_now <= base + WorthlessAfterObjectives * objective - chain ? 1 : 2;
@@ -338,8 +402,9 @@
         const Step &step = candidate.ref.step();
         const HostReport &report = state.host->report;
         const base::ServiceId &service = m_workload.queueOf(*candidate.ref.job).service;
-        return report.service == service && !report.isDraining && m_workload.isInTouch(*state.host, m_now) && m_now >= state.host->suspendedUntil
-            && !m_evacuated.contains(report.dataCentre) && (step.requiredLabel.empty() || report.labels.contains(step.requiredLabel));
+        return report.service == service && !report.isDraining && !report.hasLeft && m_workload.isInTouch(*state.host, m_now)
+            && m_now >= state.host->suspendedUntil && !m_evacuated.contains(report.dataCentre)
+            && (step.requiredLabel.empty() || report.labels.contains(step.requiredLabel));
     }
 
     [[nodiscard]] static unsigned spreadRoom(const HostState &state, const Candidate &candidate)
@@ -540,7 +605,8 @@
             }
         }
         ++m_plan.blocked;
-        if (candidate.priority == 0) {
+        // Beyond a guarantee, room is taken back only for a job that can still be in time.
+        if (candidate.isEntitled || (candidate.priority == 0 && candidate.lateness == 0)) {
             if (auto fit = bestFit(candidate, hosts, Means::Evicting, isOneRack)) {
                 evictFor(candidate, *fit);
                 return;
--- a/src/batch/records.h
+++ b/src/batch/records.h
@@ -10,6 +10,7 @@
 #pragma once
 
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -38,7 +39,8 @@
     std::uint32_t index = 0;
     bool isDone = false;
     Attempt attempt;
-    std::uint32_t failures = 0;
+    /** Attempts that ended as failed, each once however often its end is heard. */
+    std::set<Attempt> failures;
     std::string checkpoint;
     /** Where the attempt may run; empty while it waits. In the order of the gang's tasks. */
     std::vector<MemberRecord> members;
--- a/src/batch/scheduler.h
+++ b/src/batch/scheduler.h
@@ -458,6 +458,7 @@
             term.workload.setPolicy(m_policy.policy());
         }
         term.workload.expireSilentHosts(begin, wallNow());
+        term.workload.markCheckpoints(begin);
         const Plan plan = m_planner.plan(term.workload, m_policy.evacuated(), begin, wallNow());
         for (const auto &stop : plan.stops) {
             term.workload.stop(stop.unit, stop.reason);
@@ -515,6 +516,8 @@
             if (job.isDirty) {
                 records.emplace_back(id, wire::encode(term.workload.recordOf(job)));
                 job.isDirty = false;
+                job.hasNewCheckpoint = false;
+                job.recordedAt = runtime::Clock::now();
             }
         }
         const auto begin = runtime::Clock::now();
--- a/src/batch/workload.cpp
+++ b/src/batch/workload.cpp
@@ -66,6 +66,8 @@
         return "host_leaving";
     case StopReason::Stalled:
         return "stalled";
+    case StopReason::Superseded:
+        return "superseded";
     }
     return "none";
 }
@@ -336,10 +338,16 @@
 {
     const bool isNew = !host.hasReport || host.report.incarnation != call.report.incarnation;
     if (host.hasReport && host.report.isDraining != call.report.isDraining) {
-        log("host draining", {{"host", host.id.value()}, {"is_draining", call.report.isDraining ? "true" : "false"}});
+        log("host draining",
+            {{"host", host.id.value()},
+             {"is_draining", call.report.isDraining ? "true" : "false"},
+             {"remaining_ms", std::to_string(call.report.remaining.count())}});
     }
+    const bool hasJustLeft = call.report.hasLeft && (isNew || !host.report.hasLeft);
     host.report = call.report;
     host.hasReport = true;
+    host.leftAt = hasJustLeft ? now : call.report.hasLeft ? host.leftAt : Instant();
+    host.staysUntil = now + call.report.remaining;
     if (isNew) {
         host.isListed = false;
         host.processedEnds = 0;
@@ -372,6 +380,7 @@
         if (!running.checkpoint.empty() && running.checkpoint != unit.checkpoint) {
             unit.checkpoint = running.checkpoint;
             unit.savedPercent = running.percent;
+            found->first.job->hasNewCheckpoint = true;
         }
     }
     for (const auto &run : strays) {
@@ -391,10 +400,42 @@
         host.processedEnds = ended.number;
         if (const auto found = find(ended.run, host.id)) {
             endMember(*found->first.job, *found->first.unit, found->second, ended.kind, ended.checkpoint, now, wallNow);
+        } else {
+            takeLateEnd(ended, wallNow);
         }
     }
 }
 
+void Workload::takeLateEnd(const Ended &ended, WallTime wallNow)
+{
+    const auto job = m_jobs.find(ended.run.task.job);
+    Unit *unit = job != m_jobs.end() ? job->second.unit(ended.run.task) : nullptr;
+    if (unit == nullptr || unit->phase == UnitPhase::Done || isEnded(job->second.status) || job->second.stepOf(*unit).isLasting) {
+        return;
+    }
+    if (ended.kind != EndKind::Done && (ended.kind != EndKind::Failed || !unit->failures.insert(ended.run.attempt).second)) {
+        return;
+    }
+    log("late end counted",
+        {{"job", job->first.value()},
+         {"task", ended.run.task.text()},
+         {"attempt", std::to_string(ended.run.attempt.value())},
+         {"how", std::string(endKindText(ended.kind))}});
+    job->second.isDirty = true;
+    if (ended.kind == EndKind::Done) {
+        stop({&job->second, unit}, StopReason::Superseded);
+        unit->phase = UnitPhase::Done;
+        finishJobIfDone(job->second, wallNow);
+    } else if (hasFailedForGood(job->second, *unit)) {
+        endJob(job->second, JobStatus::Failed, wallNow);
+    }
+}
+
+bool Workload::hasFailedForGood(const Job &job, const Unit &unit) const
+{
+    return unit.failures.size() >= queueOf(job).mostFailures && !job.stepOf(unit).isLasting;
+}
+
 void Workload::takeBarred(Host &host, const SyncCall &call, Instant now, WallTime wallNow)
 {
     for (const auto &run : call.barred) {
@@ -430,14 +471,16 @@
             for (const auto &member : unit.members) {
                 const auto host = m_hosts.find(member.host);
                 const Instant heard = host == m_hosts.end() ? m_termStart : std::max(host->second.heardAt, m_termStart);
-                if (member.phase != MemberPhase::Ended && now - heard > limit) {
+                const bool hasLeft = host != m_hosts.end() && host->second.report.hasLeft && host->second.report.incarnation == member.incarnation
+                    && now - host->second.leftAt > m_bounds.leaveSlack;
+                if (member.phase != MemberPhase::Ended && (hasLeft || now - heard > limit)) {
                     silent.insert(member.host);
                 }
             }
         }
     }
     for (const auto &host : silent) {
-        loseMembers(host, nullptr, now, wallNow, "agent silent for longer than its grant");
+        loseMembers(host, nullptr, now, wallNow, "host left, or silent for longer than its grant");
         if (const auto found = m_hosts.find(host); found != m_hosts.end()) {
             found->second.isListed = false;
         }
@@ -479,6 +522,7 @@
 
 void Workload::countFailure(Job &job, Unit &unit, const Member &member, Instant now)
 {
+    unit.failures.insert(unit.attempt);
     Host &host = m_hosts[member.host];
     const bool failedElsewhere = std::any_of(unit.avoided.begin(), unit.avoided.end(), [&](const HostId &other) {
         return other != member.host;
@@ -506,17 +550,13 @@
         finishJobIfDone(job, wallNow);
         return;
     }
-    const bool hasFailed = std::any_of(unit.members.begin(), unit.members.end(), [](const Member &member) {
-        return member.end == EndKind::Failed;
-    });
     unit.members.clear();
     unit.stopping = StopReason::None;
     unit.phase = UnitPhase::Waiting;
     if (!job.stepOf(unit).hasCheckpoints) {
         unit.savedPercent = 0;
     }
-    unit.failures += hasFailed ? 1 : 0;
-    if (hasFailed && unit.failures >= queueOf(job).mostFailures && !job.stepOf(unit).isLasting && !isEnded(job.status)) {
+    if (hasFailedForGood(job, unit) && !isEnded(job.status)) {
         endJob(job, JobStatus::Failed, wallNow);
     }
 }
@@ -530,16 +570,15 @@
     orders.stops.assign(host.strays.begin(), host.strays.end());
     for (const auto &[id, job] : m_jobs) {
         for (const auto &unit : job.units) {
-            if (unit.phase != UnitPhase::Placed) {
-                continue;
-            }
+            const bool isWanted = unit.phase == UnitPhase::Placed;
+            const bool isToStop = unit.stopping != StopReason::None;
             for (std::size_t i = 0; i < unit.members.size(); ++i) {
                 const Member &member = unit.members[i];
-                if (member.host != host.id || member.phase == MemberPhase::Ended) {
+                if (member.host != host.id || member.phase == MemberPhase::Ended || (!isWanted && !isToStop)) {
                     continue;
                 }
                 const RunId run{job.taskOf(unit, i), unit.attempt};
-                if (unit.stopping != StopReason::None) {
+                if (isToStop) {
                     orders.stops.push_back(run);
                 } else {
                     orders.runs.push_back({run, job.spec.payload, unit.checkpoint});
@@ -550,6 +589,15 @@
     return orders;
 }
 
+void Workload::markCheckpoints(Instant now)
+{
+    for (auto &[id, job] : m_jobs) {
+        if (job.hasNewCheckpoint && now - job.recordedAt >= m_bounds.checkpointInterval) {
+            job.isDirty = true;
+        }
+    }
+}
+
 JobState Workload::recordOf(const Job &job) const
 {
     JobState state;
--- a/src/batch/workload.h
+++ b/src/batch/workload.h
@@ -58,6 +58,8 @@
     HostLeaving,
     /** It makes no progress where it is. */
     Stalled,
+    /** An earlier attempt turned out to be done. */
+    Superseded,
 };
 
 [[nodiscard]] std::string_view stopReasonText(StopReason reason);
@@ -68,7 +70,8 @@
     std::uint32_t index = 0;
     UnitPhase phase = UnitPhase::Waiting;
     Attempt attempt;
-    std::uint32_t failures = 0;
+    /** Attempts that ended as failed, each once however often its end is heard. */
+    std::set<Attempt> failures;
     std::string checkpoint;
     /** Share of the work that the checkpoint saves, as far as it was seen; 0 after a change of scheduler. */
     std::uint32_t savedPercent = 0;
@@ -92,6 +95,9 @@
     bool isCancelled = false;
     /** The state record in the store is older than this state. */
     bool isDirty = false;
+    /** A running unit has a checkpoint that the record doesn't. */
+    bool hasNewCheckpoint = false;
+    Instant recordedAt;
     Instant acceptedAt;
     std::int64_t endedMs = 0;
     /** Offset of a step's first unit within one occurrence. */
@@ -136,6 +142,10 @@
     /** Its runs have been listed under this scheduler's token. */
     bool isListed = false;
     Instant heardAt;
+    /** When it said goodbye; the least instant while it has not. */
+    Instant leftAt;
+    /** A draining host stays at least until then. */
+    Instant staysUntil;
     std::uint64_t agentIncarnation = 0;
     std::uint64_t sequence = 0;
     /** Ends up to this number are reflected in the jobs' states. */
@@ -164,6 +174,10 @@
     /** Failures in a row after which a host takes no new work for a while. */
     unsigned failuresToSuspend = 2;
     std::chrono::milliseconds suspension{6000};
+    /** From an executor's goodbye until nothing of it can run any more. */
+    std::chrono::milliseconds leaveSlack{800};
+    /** Running units' checkpoints are recorded at most this often for each job; executors make one in one to two seconds. */
+    std::chrono::milliseconds checkpointInterval{2000};
 };
 
 class Workload
@@ -184,6 +198,8 @@
     /** Orders a placement; its job must be recorded before any host hears of it. */
     void place(UnitRef ref, const std::vector<HostId> &hosts, Instant now);
     void stop(UnitRef ref, StopReason reason);
+    /** Marks jobs whose running units have checkpoints worth a record by now. */
+    void markCheckpoints(Instant now);
 
     /** What a host should run and stop now. */
     [[nodiscard]] Orders ordersFor(const Host &host) const;
@@ -231,6 +247,9 @@
     void loseMembers(const HostId &host, const HostIncarnation *onlyOther, Instant now, WallTime wallNow, std::string_view why);
     void endMember(Job &job, Unit &unit, std::size_t member, EndKind kind, const std::string &checkpoint, Instant now, WallTime wallNow);
     void settleUnit(Job &job, Unit &unit, Instant now, WallTime wallNow);
+    /** An end of an attempt that is no longer the one in force: its host was taken for lost. */
+    void takeLateEnd(const Ended &ended, WallTime wallNow);
+    [[nodiscard]] bool hasFailedForGood(const Job &job, const Unit &unit) const;
     void countFailure(Job &job, Unit &unit, const Member &member, Instant now);
     void endJob(Job &job, JobStatus status, WallTime wallNow);
     void finishJobIfDone(Job &job, WallTime wallNow);
