--- a/src/batch/scheduler.h
+++ b/src/batch/scheduler.h
@@ -136,6 +136,13 @@
     {
         return m_leader;
     }
+    /** The other entries. */
+    [[nodiscard]] std::vector<wire::Address> peers() const
+    {
+        std::vector<wire::Address> others = m_entries;
+        std::erase(others, m_settings.rpc);
+        return others;
+    }
     void setEntries(std::vector<wire::Address> entries)
     {
         m_entries = std::move(entries);
--- a/src/store/key_value.h
+++ b/src/store/key_value.h
@@ -33,12 +33,16 @@
     std::uint64_t lockIndex = 0;
     /** Session that holds the key's lock, if any. */
     SessionId session;
+
+    MSGPACK_DEFINE(key, value, modified, lockIndex, session);
 };
 
 struct ReadResult {
     /** The store's index at the time of the read; the next watch starts from it. */
     Index index;
     std::vector<KeyValue> entries;
+
+    MSGPACK_DEFINE(index, entries);
 };
 
 /** What has changed under a prefix since an index, in order. */
@@ -47,6 +51,8 @@
     Index index;
     std::vector<KeyValue> written;
     std::vector<std::string> removed;
+
+    MSGPACK_DEFINE(index, written, removed);
 };
 
 /** One conditional write. */
@@ -69,6 +75,8 @@
     std::string value;
     Index expected;
     SessionId session;
+
+    MSGPACK_DEFINE(kind, key, value, expected, session);
 };
 
 enum class WriteOutcome {
@@ -87,6 +95,8 @@
     /** When Applied: the entries as written. */
     std::vector<KeyValue> written;
     std::string reason;
+
+    MSGPACK_DEFINE(outcome, written, reason);
 };
 
 /** A store, real or a double. All calls return by their deadline. */
@@ -133,3 +143,6 @@
 };
 
 } // namespace plantainfork::store
+
+MSGPACK_ADD_ENUM(plantainfork::store::Write::Kind);
+MSGPACK_ADD_ENUM(plantainfork::store::WriteOutcome);
