--- a/src/batch/agent.h
+++ b/src/batch/agent.h
@@ -175,8 +175,8 @@
 
 private:
     /** A held call ends after this at the scheduler; on top comes the way. */
-    static constexpr std::chrono::milliseconds CallWait{1000};
-    static constexpr std::chrono::milliseconds CallTimeout{1900};
+    static constexpr std::chrono::milliseconds CallWait{700};
+    static constexpr std::chrono::milliseconds CallTimeout{1200};
     /** Silence of the scheduler after which others are asked for who is in office. */
     static constexpr std::chrono::milliseconds RetryDelay{100};
     /** How long the executor may wait for an end before it answers; its lease is prolonged each time. */
@@ -190,8 +190,8 @@
     static constexpr std::chrono::milliseconds StartLife{1500};
     /** Reports of changes that come closer together travel in one call. */
     static constexpr std::chrono::milliseconds ReportGap{3};
-    /** Failures in a row after which the leader's address is looked up anew. */
-    static constexpr unsigned FailuresToSearch = 2;
+    /** Failed calls for each look at the store, which all agents share. */
+    static constexpr unsigned FailuresBetweenSearches = 3;
 
     asio::awaitable<void> pollLeader([[maybe_unused]] std::shared_ptr<Agent> self)
     {
@@ -202,11 +202,12 @@
                 failures = 0;
                 continue;
             }
-            ++failures;
-            if (failures % FailuresToSearch == 0) {
+            // The store knows who is in office; entries that are asked in turn may be gone.
+            if (failures++ % FailuresBetweenSearches == 0) {
                 co_await search();
+            } else {
+                co_await runtime::sleepFor(RetryDelay);
             }
-            co_await runtime::sleepFor(RetryDelay);
         }
     }
 
@@ -318,10 +319,8 @@
 
     void takeReply(const SyncReply &reply, const wire::Address &from, runtime::Instant sent)
     {
-        for (const auto &entry : reply.entries) {
-            if (std::find(m_entries.begin(), m_entries.end(), entry) == m_entries.end()) {
-                m_entries.push_back(entry);
-            }
+        if (!reply.entries.empty()) {
+            m_entries = reply.entries;
         }
         const bool isFromLeader = from == m_leader || m_leader.port == 0;
         if (!reply.isLeader) {
--- a/src/batch/scheduler.h
+++ b/src/batch/scheduler.h
@@ -252,7 +252,11 @@
             const auto answerTime = runtime::Clock::now() - asked;
             const bool isHeld = !found->entries.empty() && !found->entries.front().session.isEmpty();
             if (isHeld) {
-                noteLeader(found->entries.front());
+                const bool isOwn = noteLeader(found->entries.front());
+                if (isOwn) {
+                    co_await clearOwnOffice(found->entries.front());
+                    continue;
+                }
                 co_await m_store.followPrefix(std::string(keys::Leader), found->index, SchedulerTiming::Watch);
                 continue;
             }
@@ -261,25 +265,43 @@
                 std::min<runtime::Clock::duration>(answerTime * SchedulerTiming::CandidateDelayAnswers, SchedulerTiming::LongestCandidateDelay)
                 + runtime::uniformDelay(std::chrono::milliseconds(20)));
             if (!m_isStopping && m_policy.policy() != nullptr) {
-                co_await seekOffice(found->entries.empty());
+                co_await seekOffice();
             }
         }
     }
 
-    void noteLeader(const store::KeyValue &entry)
+    /** Returns whether the record is one of an earlier process of this entry. */
+    bool noteLeader(const store::KeyValue &entry)
     {
         const auto record = wire::decode<LeaderRecord>(entry.value);
         if (!record.ok()) {
             log::write(log::Severity::Error, "leader record unreadable", {{"reason", std::string(record.status().message())}});
-            return;
+            return false;
         }
         if (m_leader != record->rpc) {
             log::write(log::Severity::Info, "leader known", {{"leader", record->member.value()}, {"token", std::to_string(entry.lockIndex)}});
         }
         m_leader = record->rpc;
+        return record->member == m_settings.id && record->rpc == m_settings.rpc;
+    }
+
+    /** The process that held the office is gone, as this one has its address: no need to wait for the lease. */
+    asio::awaitable<void> clearOwnOffice(const store::KeyValue &entry)
+    {
+        store::Write row;
+        row.kind = store::Write::Kind::Remove;
+        row.key = entry.key;
+        row.expected = entry.modified;
+        std::vector<store::Write> rows;
+        rows.push_back(std::move(row));
+        const auto result = co_await m_store.transact(rows, deadline());
+        log::write(log::Severity::Info, "office of the earlier process cleared", {{"token", std::to_string(entry.lockIndex)}, {"result", result.reason}});
+        if (result.outcome != store::WriteOutcome::Applied) {
+            co_await runtime::sleepFor(SchedulerTiming::RetryDelay);
+        }
     }
 
-    asio::awaitable<void> seekOffice(bool)
+    asio::awaitable<void> seekOffice()
     {
         const auto asked = runtime::Clock::now();
         auto session = co_await m_store.createSession(m_settings.schedulerLease, deadline());
