batch, platform: Test decisions, beliefs, answers and decoding; take a run's speed from its first listing

Cause: a run that was first listed with progress (after a change of scheduler) seemed to have made it within an instant, so it counted as about to end: its room was waited for, and it was not moved off a leaving host. Found by the tests. A submission whose writes got no answer was repeated without a pause.

--- a/src/batch/front.h
+++ b/src/batch/front.h
@@ -110,7 +110,10 @@
                 note("job accepted", id, caller, policy->version, "written");
                 co_return Answer{AnswerKind::Accepted, {}, 0, {}, ""};
             }
-            mayHaveLanded = mayHaveLanded || result.outcome == store::WriteOutcome::Unknown;
+            if (result.outcome == store::WriteOutcome::Unknown) {
+                mayHaveLanded = true;
+                co_await runtime::sleepFor(RetryDelay);
+            }
             if (result.outcome == store::WriteOutcome::NotSent && !mayHaveLanded) {
                 break;
             }
--- a/src/batch/planner.cpp
+++ b/src/batch/planner.cpp
@@ -169,13 +169,13 @@
     {
         const Duration estimate = job.stepOf(unit).estimate;
         const Duration elapsed = m_now - member.startedAt;
-        const double gained = static_cast<double>(member.percent) - static_cast<double>(unit.savedPercent);
+        const double gained = static_cast<double>(member.percent) - static_cast<double>(member.firstPercent);
         if (member.phase == MemberPhase::Running && gained >= LeastProgress) {
             const Duration atProgress = member.progressedAt - member.startedAt;
             const Duration whole = scaled(atProgress, (WholePercent - static_cast<double>(member.percent)) / gained);
             return std::max<Duration>(whole - (m_now - member.progressedAt), LeastRemaining);
         }
-        const Duration left = scaled(estimate, 1.0 - static_cast<double>(unit.savedPercent) / WholePercent);
+        const Duration left = scaled(estimate, 1.0 - static_cast<double>(std::max(unit.savedPercent, member.firstPercent)) / WholePercent);
         // A run beyond its estimate says that the estimate was short: expect it to go on in proportion.
         return std::max<Duration>(left - elapsed, elapsed / OverdueShare);
     }
@@ -183,7 +183,7 @@
     /** Whether its progress, and not only an estimate, shows that the task ends within the time of a stop. */
     [[nodiscard]] bool isAboutToEnd(const Job &job, const Unit &unit, const Member &member) const
     {
-        const bool hasProgress = member.phase == MemberPhase::Running && member.percent >= unit.savedPercent + LeastProgress;
+        const bool hasProgress = member.phase == MemberPhase::Running && member.percent >= member.firstPercent + LeastProgress;
         const bool isMoving = m_now - member.progressedAt <= ProgressAge;
         return hasProgress && isMoving && remaining(job, unit, member) <= m_bounds.killGrace;
     }
--- a/src/batch/workload.cpp
+++ b/src/batch/workload.cpp
@@ -372,6 +372,7 @@
         if (member.phase == MemberPhase::Ordered) {
             member.phase = MemberPhase::Running;
             member.startedAt = member.progressedAt = now;
+            member.percent = member.firstPercent = running.percent;
         }
         if (running.percent != member.percent) {
             member.percent = running.percent;
--- a/src/batch/workload.h
+++ b/src/batch/workload.h
@@ -35,6 +35,8 @@
     MemberPhase phase = MemberPhase::Ordered;
     EndKind end = EndKind::Lost;
     std::uint32_t percent = 0;
+    /** Percentage when it was first listed, from which its speed is taken: `startedAt` may be later than its start. */
+    std::uint32_t firstPercent = 0;
     /** When `percent` last changed. */
     Instant progressedAt;
     Instant orderedAt;
--- /dev/null
+++ b/tests/batch/floor.h
@@ -0,0 +1,177 @@
+/** A workload with a few hosts and jobs, for tests of decisions: times are plain instants, hosts say what the test says. */
+#pragma once
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "batch/planner.h"
+#include "batch/workload.h"
+
+namespace plantainfork::tests
+{
+
+using namespace std::chrono_literals;
+
+class Floor
+{
+public:
+    static constexpr std::uint64_t Token = 7;
+
+    Floor()
+        : workload(base::FencingToken(Token), batch::WorkloadBounds(), now)
+        , planner(batch::PlannerBounds{3.0, 900ms})
+    {
+        policy->version = 1;
+        addQueue("urgent", 0, 1.5, 600ms);
+        addQueue("long", 1, 3.0, 1500ms);
+        addQueue("patient", 2, 3.0, 3000ms);
+        policy->workspaces[base::WorkspaceId("atlas")] = {base::WorkspaceId("atlas"), 8};
+        policy->workspaces[base::WorkspaceId("rif")] = {base::WorkspaceId("rif"), 0};
+        workload.setPolicy(policy);
+    }
+
+    void addQueue(const std::string &name, std::uint32_t priority, double slack, std::chrono::milliseconds target)
+    {
+        batch::Queue queue;
+        queue.id = batch::QueueId(name);
+        queue.host = "h.example";
+        queue.prefix = "/" + name + "/";
+        queue.service = base::ServiceId("ledger");
+        queue.priority = priority;
+        queue.mostFailures = 3;
+        queue.slackFactor = slack;
+        queue.latencyTarget = target;
+        policy->queues[queue.id] = queue;
+    }
+
+    /** A host with 8 accelerators and 64 cores; what it runs and has ended is told by say(). */
+    void addHost(const std::string &name, const std::string &rack, const std::string &dataCentre = "pens")
+    {
+        auto &call = m_calls[name];
+        call.host = batch::HostId(name);
+        call.agentIncarnation = 1;
+        call.hasReport = true;
+        call.report.incarnation = {"i-" + name, 1};
+        call.report.service = base::ServiceId("ledger");
+        call.report.dataCentre = base::DataCentreId(dataCentre);
+        call.report.capacity = {64'000, 256'000, 8};
+        call.report.labels = {"a", rack};
+        call.listToken = base::FencingToken(Token);
+        say(name);
+    }
+
+    batch::SyncCall &call(const std::string &host)
+    {
+        return m_calls.at(host);
+    }
+
+    void say(const std::string &host)
+    {
+        auto &call = m_calls.at(host);
+        ++call.sequence;
+        workload.hear(call, now, wallNow());
+    }
+
+    /** All hosts speak, so that none is out of touch. */
+    void pass(std::chrono::milliseconds time)
+    {
+        now += time;
+        for (const auto &[host, call] : m_calls) {
+            if (!silent.contains(host)) {
+                say(host);
+            }
+        }
+        workload.expireSilentHosts(now, wallNow());
+    }
+
+    batch::Job &addJob(const std::string &id, const std::string &queue, const std::string &workspace, std::vector<batch::Step> steps)
+    {
+        batch::JobSpec spec;
+        spec.id = base::JobId(id);
+        spec.queue = batch::QueueId(queue);
+        spec.service = base::ServiceId("ledger");
+        spec.workspace = base::WorkspaceId(workspace);
+        spec.payload = "payload";
+        spec.steps = std::move(steps);
+        spec.acceptedMs = wallNow().time_since_epoch().count();
+        spec.mostFailures = 3;
+        workload.addJob(std::move(spec), std::nullopt, now, wallNow());
+        return workload.jobs().at(base::JobId(id));
+    }
+
+    static batch::Step step(std::uint32_t tasks, std::int64_t accelerators, std::chrono::milliseconds estimate)
+    {
+        batch::Step step;
+        step.tasks = tasks;
+        step.need = {1000, 1000, accelerators};
+        step.estimate = estimate;
+        return step;
+    }
+    static batch::Step gang(std::uint32_t tasks, std::int64_t accelerators, std::chrono::milliseconds estimate)
+    {
+        batch::Step result = step(tasks, accelerators, estimate);
+        result.isGang = true;
+        return result;
+    }
+
+    /** Decides and carries out. */
+    batch::Plan round()
+    {
+        batch::Plan plan = planner.plan(workload, evacuated, now, wallNow());
+        for (const auto &stop : plan.stops) {
+            workload.stop(stop.unit, stop.reason);
+        }
+        for (const auto &placement : plan.placements) {
+            workload.place(placement.unit, placement.hosts, now);
+        }
+        return plan;
+    }
+
+    /** The host lists all that it is ordered to run, at that percentage. */
+    void runOrders(const std::string &host, std::uint32_t percent)
+    {
+        auto &told = m_calls.at(host);
+        told.running.clear();
+        for (const auto &order : workload.ordersFor(workload.hosts().at(batch::HostId(host))).runs) {
+            told.running.push_back({order.run, "", percent});
+        }
+        say(host);
+    }
+
+    void end(const std::string &host, const batch::RunId &run, batch::EndKind kind, const std::string &checkpoint = "")
+    {
+        auto &told = m_calls.at(host);
+        std::erase_if(told.running, [&](const batch::Running &running) {
+            return running.run == run;
+        });
+        told.ended.push_back({told.ended.size() + 1, run, kind, checkpoint});
+        say(host);
+    }
+
+    static batch::RunId run(const std::string &job, std::uint32_t step, std::uint32_t index, std::uint64_t attempt)
+    {
+        return {{base::JobId(job), 0, step, index}, batch::Attempt(attempt)};
+    }
+
+    [[nodiscard]] batch::WallTime wallNow() const
+    {
+        return batch::WallTime(std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch()));
+    }
+
+    batch::Instant now = batch::Instant(1000s);
+    std::shared_ptr<batch::Policy> policy = std::make_shared<batch::Policy>();
+    batch::Workload workload;
+    batch::Planner planner;
+    std::set<base::DataCentreId> evacuated;
+    /** Hosts whose agents aren't heard. */
+    std::set<std::string> silent;
+
+private:
+    std::map<std::string, batch::SyncCall> m_calls;
+};
+
+} // namespace plantainfork::tests
--- /dev/null
+++ b/tests/platform/callers_test.cpp
@@ -0,0 +1,48 @@
+/** Callers' requests and the answers that they get. */
+#include <catch2/catch.hpp>
+
+#include "platform/callers.h"
+
+using namespace plantainfork;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+http::Request request(const std::string &method, const std::string &target)
+{
+    http::Request request;
+    request.method = method;
+    request.target = target;
+    request.headers = {{"Host", "nony24.example:8521"}, {"X-Api-Key", "k"}, {"X-Plantainfork-Deadline-Ms", "1200"}};
+    return request;
+}
+
+} // namespace
+
+TEST_CASE("Method and path say what a caller asks for")
+{
+    const auto now = runtime::Clock::now();
+    const auto submit = platform::decodeRequest(request("POST", "/lohu930/5c0e7a21d94b36f8"), now);
+    REQUIRE(submit.kind == platform::CallerRequest::Kind::Submit);
+    REQUIRE(submit.job.value() == "5c0e7a21d94b36f8");
+    REQUIRE(submit.caller.host == "nony24.example");
+    REQUIRE(submit.caller.deadline == now + 1200ms);
+    REQUIRE(platform::decodeRequest(request("GET", "/lohu930/5c0e7a21d94b36f8"), now).kind == platform::CallerRequest::Kind::Status);
+    REQUIRE(platform::decodeRequest(request("DELETE", "/lohu930/5c0e7a21d94b36f8"), now).kind == platform::CallerRequest::Kind::Cancel);
+    REQUIRE(platform::decodeRequest(request("GET", "/lohu930/"), now).kind == platform::CallerRequest::Kind::Pending);
+    REQUIRE(platform::decodeRequest(request("POST", "/lohu930/"), now).kind == platform::CallerRequest::Kind::Unknown);
+}
+
+TEST_CASE("A refusal says when to come back, and an unclear end isn't told as one")
+{
+    batch::Answer answer;
+    answer.kind = batch::AnswerKind::Refused;
+    const auto refused = platform::encodeAnswer(answer);
+    REQUIRE(refused.status == 503);
+    REQUIRE(refused.header("Retry-After").has_value());
+    answer.kind = batch::AnswerKind::Unclear;
+    REQUIRE(platform::encodeAnswer(answer).status == 504);
+    answer.kind = batch::AnswerKind::NoSuchJob;
+    REQUIRE(platform::encodeAnswer(answer).status == 410);
+}
