batch: Follow an entry's word on who is in office; restart tasks that stand still

Change: the hint is called next by its address; hosts on which a task stands still get nothing new, and the task starts anew elsewhere once it has stood for longer than a new start repeats. Failures to record or renew are told once, not each time.

--- a/src/batch/agent.h
+++ b/src/batch/agent.h
@@ -306,7 +306,10 @@
         while (true) {
             co_await m_doubted.waitUntil(runtime::Clock::now() + std::chrono::hours(1));
             while (m_isDoubtful && m_entries.size() > 1) {
-                auto other = nextEntry();
+                auto other = std::exchange(m_hint, wire::Address());
+                if (other.port == 0 || other == m_leader) {
+                    other = nextEntry();
+                }
                 if (other == m_leader) {
                     other = nextEntry();
                 }
@@ -325,8 +328,11 @@
         const bool isFromLeader = from == m_leader || m_leader.port == 0;
         if (!reply.isLeader) {
             const bool isHint = reply.leader.port != 0 && reply.leader != from;
-            if (isFromLeader || (m_isDoubtful && isHint)) {
+            if (isFromLeader) {
                 m_leader = isHint ? reply.leader : wire::Address();
+            } else if (isHint) {
+                // Not yet the leader here: the one in doubt keeps answering until the other has shown its token.
+                m_hint = reply.leader;
             }
             return;
         }
@@ -637,6 +643,8 @@
     std::vector<wire::Address> m_entries;
     std::size_t m_nextEntry = 0;
     wire::Address m_leader;
+    /** Whom another entry holds for the scheduler in office. */
+    wire::Address m_hint;
     bool m_isInTouch = false;
     /** A first failure is worth a line, too. */
     bool m_hasTried = false;
--- a/src/batch/planner.cpp
+++ b/src/batch/planner.cpp
@@ -69,6 +69,8 @@
     std::vector<std::pair<std::size_t, unsigned>> occupants;
     /** Room kept for a blocked unit from the instant on. */
     std::vector<std::pair<Instant, Room>> reservations;
+    /** A task here stands still, so nothing new is started. */
+    bool isStalled = false;
     /** Tasks here by step, for spread limits. */
     std::map<std::tuple<const Job *, std::uint32_t, std::uint32_t>, unsigned> perStep;
 };
@@ -145,6 +147,7 @@
             decide(candidate);
         }
         moveOffLeavingHosts();
+        moveOffStalledHosts();
         return std::move(m_plan);
     }
 
@@ -240,6 +243,7 @@
                 continue;
             }
             HostState &host = m_hosts[index->second];
+            host.isStalled = host.isStalled || isStalled(job, unit, member);
             host.free -= need;
             ++host.perStep[{&job, unit.occurrence, unit.step}];
             if (!host.occupants.empty() && host.occupants.back().first == number) {
@@ -270,6 +274,32 @@
         }
     }
 
+    [[nodiscard]] bool isStalled(const Job &job, const Unit &unit, const Member &member) const
+    {
+        const bool isWorking = member.phase == MemberPhase::Running && unit.stopping == StopReason::None && !job.stepOf(unit).isLasting;
+        return isWorking && m_now - member.progressedAt >= m_bounds.stallLimit;
+    }
+
+    /** Starts units anew elsewhere once they have stood still for longer than what a new start would do again. */
+    void moveOffStalledHosts()
+    {
+        for (std::size_t i = 0; i < m_occupants.size(); ++i) {
+            const Occupant &occupant = m_occupants[i];
+            if (occupant.isLeavingAnyway || m_stopped.contains(i)) {
+                continue;
+            }
+            const Unit &unit = *occupant.ref.unit;
+            const bool isWorthIt = std::any_of(unit.members.begin(), unit.members.end(), [&](const Member &member) {
+                const double unsaved = std::max(0.0, static_cast<double>(member.percent) - static_cast<double>(unit.savedPercent)) / WholePercent;
+                return isStalled(*occupant.ref.job, unit, member) && m_now - member.progressedAt >= scaled(occupant.ref.step().estimate, unsaved);
+            });
+            if (isWorthIt && canRestart(occupant)) {
+                m_stopped.insert(i);
+                m_plan.stops.push_back({occupant.ref, StopReason::Stalled});
+            }
+        }
+    }
+
     /** The earliest time at which a host of the unit may be gone. */
     [[nodiscard]] std::optional<Instant> leavingAt(const Occupant &occupant) const
     {
@@ -402,8 +432,8 @@
         const Step &step = candidate.ref.step();
         const HostReport &report = state.host->report;
         const base::ServiceId &service = m_workload.queueOf(*candidate.ref.job).service;
-        return report.service == service && !report.isDraining && !report.hasLeft && m_workload.isInTouch(*state.host, m_now)
-            && m_now >= state.host->suspendedUntil && !m_evacuated.contains(report.dataCentre)
+        return report.service == service && (!state.isStalled || candidate.isEntitled) && !report.isDraining && !report.hasLeft
+            && m_workload.isInTouch(*state.host, m_now) && m_now >= state.host->suspendedUntil && !m_evacuated.contains(report.dataCentre)
             && (step.requiredLabel.empty() || report.labels.contains(step.requiredLabel));
     }
 
@@ -440,6 +470,9 @@
         if (candidate.ref.unit->avoided.contains(state.host->id)) {
             cost += AvoidedHostCost;
         }
+        if (state.isStalled) {
+            cost += AvoidedHostCost;
+        }
         // Best fit: whole free hosts stay whole.
         cost += 0.01 * static_cast<double>(std::max<std::int64_t>(left.accelerators, 0));
         return cost;
--- a/src/batch/planner.h
+++ b/src/batch/planner.h
@@ -26,8 +26,8 @@
     std::chrono::milliseconds killGrace{900};
     /** Blocked units that keep a reservation; more would leave too little for backfill. */
     unsigned reservations = 6;
-    /** A running task without progress for this long, and for a quarter of its run time, is taken for stuck. */
-    std::chrono::milliseconds stallLimit{3000};
+    /** A running task that shows no progress for this long stands still; listings come once a second, and progress in whole percent. */
+    std::chrono::milliseconds stallLimit{2200};
 };
 
 struct Placement {
--- a/src/batch/scheduler.h
+++ b/src/batch/scheduler.h
@@ -167,6 +167,9 @@
         Workload workload;
         bool isLoaded = false;
         bool isOver = false;
+        /** The last try to write records failed; told once. */
+        bool isRecordFailing = false;
+        bool isRenewalFailing = false;
         /** Revision of each job's state record; absent: there is none. */
         std::map<base::JobId, store::Index> stateIndex;
         /** Orders as recorded and in force. */
@@ -373,11 +376,14 @@
             const auto renewed = co_await m_store.renewSession(term->session, asked + m_settings.schedulerLease / 2);
             if (renewed.ok()) {
                 term->leaseUntil = asked + m_settings.schedulerLease;
+                if (std::exchange(term->isRenewalFailing, false)) {
+                    log::write(log::Severity::Info, "lease renewed again");
+                }
             } else if (absl::IsNotFound(renewed)) {
                 endTerm(*term, "lease has ended");
             } else if (runtime::Clock::now() > term->leaseUntil + m_grant) {
                 endTerm(*term, "store unreachable for longer than a grant");
-            } else {
+            } else if (!std::exchange(term->isRenewalFailing, true)) {
                 log::write(log::Severity::Warning, "lease not renewed", {{"reason", std::string(renewed.message())}});
             }
         }
@@ -586,6 +592,9 @@
         }
         const auto result = co_await m_store.transact(rows, deadline());
         if (result.outcome == store::WriteOutcome::Applied) {
+            if (std::exchange(term.isRecordFailing, false)) {
+                log::write(log::Severity::Info, "records written again", {{"records", std::to_string(records.size())}});
+            }
             for (const auto &entry : result.written) {
                 if (const auto key = keys::parseJob(entry.key)) {
                     term.stateIndex[key->id] = entry.modified;
@@ -593,7 +602,10 @@
             }
             co_return true;
         }
-        log::write(log::Severity::Warning, "records not written", {{"records", std::to_string(records.size())}, {"reason", result.reason}});
+        if (!term.isRecordFailing) {
+            log::write(log::Severity::Warning, "records not written", {{"records", std::to_string(records.size())}, {"reason", result.reason}});
+        }
+        term.isRecordFailing = true;
         if (result.outcome == store::WriteOutcome::Conflict) {
             co_await settleConflict(term, records);
         }
--- a/tests/batch/planner_test.cpp
+++ b/tests/batch/planner_test.cpp
@@ -175,6 +175,28 @@
     REQUIRE(plan.stops[0].reason == batch::StopReason::HostLeaving);
 }
 
+TEST_CASE("A task that stands still is started anew elsewhere, and its host gets nothing new meanwhile")
+{
+    // Replays a host on which all tasks hang while its executor answers well.
+    Floor floor;
+    floor.addHost("a", "r1-1");
+    floor.addJob("hung", "urgent", "rif", {Floor::step(1, 1, 3s)});
+    floor.round();
+    floor.runOrders("a", 10);
+    floor.pass(2s);
+    floor.addJob("early", "long", "rif", {Floor::step(1, 1, 3s)});
+    REQUIRE(floor.round().placements.size() == 1);
+    floor.pass(300ms);
+    floor.addJob("later", "long", "rif", {Floor::step(1, 1, 3s)});
+    REQUIRE(floor.round().placements.empty());
+    floor.addHost("b", "r1-1");
+    const auto plan = floor.round();
+    REQUIRE(plan.stops.size() == 1);
+    REQUIRE(plan.stops[0].reason == batch::StopReason::Stalled);
+    REQUIRE(plan.placements.size() == 1);
+    REQUIRE(plan.placements[0].hosts.front().value() == "b");
+}
+
 TEST_CASE("A task without room near its data waits only as long as the slower run would cost")
 {
     Floor floor;
