batch: Shorten the scheduler's lease to 1.4 s

Cause: after a crash or cut of the scheduler nothing was placed until its lease had ended. A shorter one would lapse in a slow spell of the store, whose answers take up to a third of a second.

--- a/src/batch/settings.h
+++ b/src/batch/settings.h
@@ -38,7 +38,7 @@
     log::Severity logSeverity = log::Severity::Info;
 
     /** Life of the scheduler's lease in the store. */
-    std::chrono::milliseconds schedulerLease{2000};
+    std::chrono::milliseconds schedulerLease{1400};
     /** The longest lease that an executor grants to what it runs. */
     std::chrono::milliseconds longestHold{10'000};
     std::chrono::milliseconds killGrace{900};
