batch: Keep transactions within the store's entries; keep states apart from what schedulers follow

Change: 15 records a transaction; states under a prefix of their own; a pause after an early answer.

--- a/src/batch/agent.h
+++ b/src/batch/agent.h
@@ -532,9 +532,12 @@
                 continue;
             }
             const std::chrono::milliseconds wait = m_listToken == m_token ? HoldWait : std::chrono::milliseconds(0);
+            const auto begin = runtime::Clock::now();
             const bool isHeld = co_await hold(wait);
-            if (!isHeld) {
-                co_await runtime::sleepFor(HoldRetryDelay);
+            // The executor answers at once while it has ends that aren't acknowledged yet.
+            const bool isEarly = runtime::Clock::now() - begin < HoldRetryDelay && m_listing && !m_listing->ended.empty();
+            if (!isHeld || isEarly) {
+                co_await m_ordered.waitUntil(runtime::Clock::now() + HoldRetryDelay);
             }
         }
     }
--- a/src/batch/front.h
+++ b/src/batch/front.h
@@ -4,6 +4,7 @@
  */
 #pragma once
 
+#include <algorithm>
 #include <chrono>
 #include <functional>
 #include <memory>
@@ -140,12 +141,12 @@
             co_return *refusal;
         }
         while (true) {
-            const auto found = co_await m_store.readPrefix(keys::jobPrefix(id), callDeadline(caller));
+            const auto found = co_await lookUp(id, callDeadline(caller));
             if (found.ok()) {
                 if (auto refusal = check(caller, id.value())) {
                     co_return *refusal;
                 }
-                co_return answerFor(*found, id);
+                co_return *found;
             }
             if (!hasTime(caller)) {
                 note("state not read", id, caller, 0, std::string(found.status().message()));
@@ -162,13 +163,13 @@
             if (auto refusal = check(caller, id.value())) {
                 co_return *refusal;
             }
-            const auto found = co_await m_store.readPrefix(keys::jobPrefix(id), callDeadline(caller));
+            const auto found = co_await lookUp(id, callDeadline(caller));
             if (!found.ok()) {
                 reason = std::string(found.status().message());
                 co_await runtime::sleepFor(RetryDelay);
                 continue;
             }
-            const Answer now = answerFor(*found, id);
+            const Answer now = *found;
             if (now.kind == AnswerKind::NoSuchJob) {
                 co_return now;
             }
@@ -286,30 +287,38 @@
         co_return co_await m_store.transact(std::move(rows), callDeadline(caller));
     }
 
-    static Answer answerFor(const store::ReadResult &found, const base::JobId &id)
+    /** Reads the job and, if there is one, its state. */
+    asio::awaitable<absl::StatusOr<Answer>> lookUp(base::JobId id, runtime::Instant deadline)
     {
+        const auto job = co_await m_store.readPrefix(keys::jobPrefix(id), deadline);
+        if (!job.ok()) {
+            co_return job.status();
+        }
         Answer answer{AnswerKind::NoSuchJob, {}, 0, {}, "no such job"};
-        bool isCancelled = false;
-        for (const auto &entry : found.entries) {
-            const auto key = keys::parseJob(entry.key);
-            if (!key || key->id != id) {
-                continue;
-            }
-            answer.kind = AnswerKind::State;
-            isCancelled = isCancelled || key->part == keys::JobPart::Cancel;
-            if (key->part == keys::JobPart::State) {
-                const auto state = wire::decode<JobState>(entry.value);
-                if (!state.ok()) {
-                    log::write(log::Severity::Error, "state record unreadable", {{"job", id.value()}, {"reason", std::string(state.status().message())}});
-                    return Answer{AnswerKind::Refused, {}, 0, RetryAfter, "state record unreadable"};
-                }
-                answer.status = state->status;
+        if (job->entries.empty()) {
+            co_return answer;
+        }
+        const auto state = co_await m_store.read(keys::state(id), deadline);
+        if (!state.ok()) {
+            co_return state.status();
+        }
+        answer.kind = AnswerKind::State;
+        if (!state->entries.empty()) {
+            const auto decoded = wire::decode<JobState>(state->entries.front().value);
+            if (!decoded.ok()) {
+                log::write(log::Severity::Error, "state record unreadable", {{"job", id.value()}, {"reason", std::string(decoded.status().message())}});
+                co_return decoded.status();
             }
+            answer.status = decoded->status;
         }
-        if (answer.kind == AnswerKind::State && isCancelled && !isEnded(answer.status)) {
+        const bool isCancelled = std::any_of(job->entries.begin(), job->entries.end(), [](const store::KeyValue &entry) {
+            const auto key = keys::parseJob(entry.key);
+            return key && key->part == keys::JobPart::Cancel;
+        });
+        if (isCancelled && !isEnded(answer.status)) {
             answer.status = JobStatus::Cancelled;
         }
-        return answer;
+        co_return answer;
     }
 
     static void note(const char *event, const base::JobId &id, const Caller &caller, std::uint64_t version, const std::string &why)
--- a/src/batch/records.h
+++ b/src/batch/records.h
@@ -3,7 +3,8 @@
  *
  *   plantainfork/batch/jobs/ID/spec     the JobSpec, written once at acceptance
  *   plantainfork/batch/jobs/ID/cancel   present once a caller has cancelled the job
- *   plantainfork/batch/jobs/ID/state    the JobState, written by the scheduler in office only
+ *   plantainfork/batch/states/ID        the JobState, written by the scheduler in office only; apart from the others, so that
+ *                                       whoever follows the jobs doesn't get each change of state back
  *   plantainfork/batch/leader           the scheduler in office; goes with its lease
  *   plantainfork/batch/entries/ID       where an entry is reached
  */
@@ -75,15 +76,20 @@
 {
 
 inline constexpr std::string_view Jobs = "plantainfork/batch/jobs/";
+inline constexpr std::string_view States = "plantainfork/batch/states/";
 inline constexpr std::string_view Leader = "plantainfork/batch/leader";
 inline constexpr std::string_view Entries = "plantainfork/batch/entries/";
 
 enum class JobPart {
     Spec,
     Cancel,
-    State,
 };
 
+inline std::string state(const base::JobId &id)
+{
+    return std::string(States) + id.value();
+}
+
 inline std::string jobPrefix(const base::JobId &id)
 {
     return std::string(Jobs) + id.value() + "/";
@@ -96,8 +102,6 @@
         return jobPrefix(id) + "spec";
     case JobPart::Cancel:
         return jobPrefix(id) + "cancel";
-    case JobPart::State:
-        return jobPrefix(id) + "state";
     }
     return jobPrefix(id);
 }
@@ -126,9 +130,6 @@
     if (part == "cancel") {
         return JobKey{id, JobPart::Cancel};
     }
-    if (part == "state") {
-        return JobKey{id, JobPart::State};
-    }
     return std::nullopt;
 }
 
--- a/src/batch/scheduler.h
+++ b/src/batch/scheduler.h
@@ -50,8 +50,8 @@
     /** A candidate waits this many store answer times before it stands, so that one near the store wins. */
     static constexpr int CandidateDelayAnswers = 4;
     static constexpr std::chrono::milliseconds LongestCandidateDelay{400};
-    /** Rows of one transaction, one less than the store's limit for the row that checks the office. */
-    static constexpr std::size_t RowsPerTransaction = 31;
+    /** Records of one transaction: the store takes 32 entries, of which each record needs two and the office's condition one. */
+    static constexpr std::size_t RecordsPerTransaction = 15;
     static constexpr std::chrono::seconds CleaningInterval{5};
 };
 
@@ -172,6 +172,8 @@
         bool isRenewalFailing = false;
         /** Revision of each job's state record; absent: there is none. */
         std::map<base::JobId, store::Index> stateIndex;
+        /** States as read at the start of the term, until their jobs are known. */
+        std::map<base::JobId, JobState> states;
         /** Orders as recorded and in force. */
         std::map<HostId, Orders> orders;
         /** Encoded orders as last published, to see changes. */
@@ -398,7 +400,15 @@
                 co_await runtime::sleepFor(SchedulerTiming::RetryDelay);
                 continue;
             }
-            takeAll(*term, *all);
+            bool isComplete = term->isLoaded;
+            if (!isComplete) {
+                isComplete = co_await loadStates(*term);
+            }
+            if (!isComplete) {
+                co_await runtime::sleepFor(SchedulerTiming::RetryDelay);
+                continue;
+            }
+            takeEntries(*term, all->entries);
             if (!term->isLoaded) {
                 term->isLoaded = true;
                 log::write(log::Severity::Info, "jobs loaded", {{"jobs", std::to_string(term->workload.jobs().size())}});
@@ -429,30 +439,25 @@
         }
     }
 
-    void takeAll(Term &term, const store::ReadResult &all)
+    /** What earlier schedulers recorded. Nobody else writes it any more: their office was the condition of each record. */
+    asio::awaitable<bool> loadStates(Term &term)
     {
-        std::map<base::JobId, JobState> states;
-        for (const auto &entry : all.entries) {
-            const auto key = keys::parseJob(entry.key);
-            if (!key || key->part != keys::JobPart::State || term.stateIndex.contains(key->id)) {
-                continue;
-            }
+        const auto all = co_await m_store.readPrefix(std::string(keys::States), deadline());
+        if (!all.ok()) {
+            log::write(log::Severity::Warning, "states not read", {{"reason", std::string(all.status().message())}});
+            co_return false;
+        }
+        for (const auto &entry : all->entries) {
+            const base::JobId id(entry.key.substr(keys::States.size()));
             auto state = wire::decode<JobState>(entry.value);
             if (state.ok()) {
-                states[key->id] = std::move(*state);
-                term.stateIndex[key->id] = entry.modified;
+                term.states[id] = std::move(*state);
+                term.stateIndex[id] = entry.modified;
             } else {
-                log::write(log::Severity::Error, "state record unreadable", {{"job", key->id.value()}, {"reason", std::string(state.status().message())}});
+                log::write(log::Severity::Error, "state record unreadable", {{"job", id.value()}, {"reason", std::string(state.status().message())}});
             }
         }
-        for (const auto &entry : all.entries) {
-            const auto key = keys::parseJob(entry.key);
-            if (key && key->part == keys::JobPart::Spec) {
-                const auto state = states.find(key->id);
-                takeSpec(term, key->id, entry.value, state != states.end() ? std::optional(state->second) : std::nullopt);
-            }
-        }
-        takeCancels(term, all.entries);
+        co_return true;
     }
 
     void takeEntries(Term &term, const std::vector<store::KeyValue> &entries)
@@ -460,7 +465,7 @@
         for (const auto &entry : entries) {
             const auto key = keys::parseJob(entry.key);
             if (key && key->part == keys::JobPart::Spec) {
-                takeSpec(term, key->id, entry.value, std::nullopt);
+                takeSpec(term, key->id, entry.value);
             }
         }
         takeCancels(term, entries);
@@ -476,14 +481,15 @@
         }
     }
 
-    static void takeSpec(Term &term, const base::JobId &id, const std::string &value, const std::optional<JobState> &state)
+    static void takeSpec(Term &term, const base::JobId &id, const std::string &value)
     {
         auto spec = wire::decode<JobSpec>(value);
         if (!spec.ok()) {
             log::write(log::Severity::Error, "job record unreadable", {{"job", id.value()}, {"reason", std::string(spec.status().message())}});
             return;
         }
-        term.workload.addJob(std::move(*spec), state, runtime::Clock::now(), wallNow());
+        const auto state = term.states.extract(id);
+        term.workload.addJob(std::move(*spec), state ? std::optional(state.mapped()) : std::nullopt, runtime::Clock::now(), wallNow());
     }
 
     asio::awaitable<void> round(Term &term)
@@ -556,8 +562,8 @@
             }
         }
         const auto begin = runtime::Clock::now();
-        for (std::size_t first = 0; first < records.size(); first += SchedulerTiming::RowsPerTransaction) {
-            const auto last = std::min(first + SchedulerTiming::RowsPerTransaction, records.size());
+        for (std::size_t first = 0; first < records.size(); first += SchedulerTiming::RecordsPerTransaction) {
+            const auto last = std::min(first + SchedulerTiming::RecordsPerTransaction, records.size());
             const std::vector<std::pair<base::JobId, std::string>> part(records.begin() + static_cast<std::ptrdiff_t>(first),
                                                                         records.begin() + static_cast<std::ptrdiff_t>(last));
             bool isWritten = co_await writeRecords(term, part);
@@ -584,7 +590,7 @@
         rows.push_back(std::move(lock));
         for (const auto &[id, value] : records) {
             store::Write row;
-            row.key = keys::job(id, keys::JobPart::State);
+            row.key = keys::state(id);
             row.value = value;
             const auto index = term.stateIndex.find(id);
             row.expected = index != term.stateIndex.end() ? index->second : store::Index();
@@ -596,8 +602,8 @@
                 log::write(log::Severity::Info, "records written again", {{"records", std::to_string(records.size())}});
             }
             for (const auto &entry : result.written) {
-                if (const auto key = keys::parseJob(entry.key)) {
-                    term.stateIndex[key->id] = entry.modified;
+                if (entry.key.starts_with(keys::States)) {
+                    term.stateIndex[base::JobId(entry.key.substr(keys::States.size()))] = entry.modified;
                 }
             }
             co_return true;
@@ -624,7 +630,7 @@
             co_return;
         }
         for (const auto &[id, value] : records) {
-            const auto state = co_await m_store.read(keys::job(id, keys::JobPart::State), deadline());
+            const auto state = co_await m_store.read(keys::state(id), deadline());
             if (state.ok() && !state->entries.empty()) {
                 term.stateIndex[id] = state->entries.front().modified;
             }
@@ -653,17 +659,15 @@
     asio::awaitable<void> removeJob(Term &term, const base::JobId &id)
     {
         const auto all = co_await m_store.readPrefix(keys::jobPrefix(id), deadline());
-        if (!all.ok()) {
+        const auto index = term.stateIndex.find(id);
+        if (!all.ok() || index == term.stateIndex.end()) {
             co_return;
         }
         std::vector<store::Write> rows;
         for (const auto &entry : all->entries) {
-            store::Write row;
-            row.kind = store::Write::Kind::Remove;
-            row.key = entry.key;
-            row.expected = entry.modified;
-            rows.push_back(std::move(row));
+            rows.push_back({store::Write::Kind::Remove, entry.key, "", entry.modified, {}});
         }
+        rows.push_back({store::Write::Kind::Remove, keys::state(id), "", index->second, {}});
         const auto result = co_await m_store.transact(rows, deadline());
         if (result.outcome == store::WriteOutcome::Applied) {
             term.workload.forgetJob(id);
