batch: Beyond a guarantee, throw away no more work than the urgent unit does

Change: a non-entitled urgent unit takes room back only if the unsaved work lost is at most its own.

--- a/src/batch/planner.cpp
+++ b/src/batch/planner.cpp
@@ -640,12 +640,12 @@
         ++m_plan.blocked;
         // Beyond a guarantee, room is taken back only for a job that can still be in time.
         if (candidate.isEntitled || (candidate.priority == 0 && candidate.lateness == 0)) {
-            if (auto fit = bestFit(candidate, hosts, Means::Evicting, isOneRack)) {
+            if (auto fit = bestFit(candidate, hosts, Means::Evicting, isOneRack); fit && isWorthIt(candidate, *fit)) {
                 evictFor(candidate, *fit);
                 return;
             }
             if (isOneRack) {
-                if (auto fit = bestFit(candidate, hosts, Means::Evicting, false)) {
+                if (auto fit = bestFit(candidate, hosts, Means::Evicting, false); fit && isWorthIt(candidate, *fit)) {
                     fit->needsWait ? evictFor(candidate, *fit) : commit(candidate, *fit);
                     return;
                 }
@@ -654,6 +654,14 @@
         reserve(candidate, hosts, isOneRack);
     }
 
+    /** Beyond a guarantee, no more work is thrown away than the unit itself does. */
+    [[nodiscard]] bool isWorthIt(const Candidate &candidate, const Fit &fit) const
+    {
+        const Step &step = candidate.ref.step();
+        const double members = step.isGang ? step.tasks : 1;
+        return candidate.isEntitled || fit.cost <= seconds(candidate.runTime) * weight(step.need) * members;
+    }
+
     /** A task that could only start away from its data waits if its rack frees room before the slower run would have lost as much. */
     [[nodiscard]] bool isWorthWaiting(const Candidate &candidate, const std::vector<std::size_t> &hosts, const Fit &fit) const
     {
