--- a/tests/support/memory_store.h
+++ b/tests/support/memory_store.h
@@ -242,6 +242,12 @@
         m_lostRequests = count;
     }
 
+    /** Refuses transactions of more entries, of which a check or removal counts as one and any other write as two. */
+    void setMostEntries(std::size_t most)
+    {
+        m_mostEntries = most;
+    }
+
     [[nodiscard]] int reads() const
     {
         return m_reads;
@@ -340,6 +346,10 @@
             result.reason = "request lost";
             co_return result;
         }
+        if (entriesOf(writes) > m_mostEntries) {
+            result.reason = "too many entries";
+            co_return result;
+        }
         const absl::Status arrived = co_await arrive(deadline);
         result = m_data->transact(writes);
         if (!arrived.ok() || takeOne(m_lostAnswers)) {
@@ -390,6 +400,16 @@
         co_return arrival > deadline ? absl::DeadlineExceededError("store is slow") : absl::OkStatus();
     }
 
+    static std::size_t entriesOf(const std::vector<store::Write> &writes)
+    {
+        std::size_t entries = 0;
+        for (const auto &write : writes) {
+            const bool isSingle = write.kind == store::Write::Kind::Check || write.kind == store::Write::Kind::Remove;
+            entries += isSingle ? 1 : 2;
+        }
+        return entries;
+    }
+
     static bool takeOne(std::atomic<int> &count)
     {
         if (count <= 0) {
@@ -401,6 +421,7 @@
 
     const std::shared_ptr<MemoryData> m_data;
     std::atomic<bool> m_isDown{false};
+    std::atomic<std::size_t> m_mostEntries{1000};
     std::atomic<std::chrono::milliseconds> m_delay{std::chrono::milliseconds(0)};
     std::atomic<int> m_lostAnswers{0};
     std::atomic<int> m_lostRequests{0};
