--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -103,4 +103,23 @@
     return withType(status, std::move(body), "application/json");
 }
 
+std::string percentEncoded(const std::string &text)
+{
+    constexpr std::string_view Digits = "0123456789ABCDEF";
+    constexpr std::string_view Unescaped = "-._~/";
+    std::string encoded;
+    for (const char character : text) {
+        const auto byte = static_cast<unsigned char>(character);
+        const bool isAlphanumeric = (byte >= '0' && byte <= '9') || (byte >= 'A' && byte <= 'Z') || (byte >= 'a' && byte <= 'z');
+        if (isAlphanumeric || Unescaped.find(character) != std::string_view::npos) {
+            encoded += character;
+        } else {
+            encoded += '%';
+            encoded += Digits[byte >> 4U];
+            encoded += Digits[byte & 15U];
+        }
+    }
+    return encoded;
+}
+
 } // namespace plantainfork::http
--- a/src/http/message.h
+++ b/src/http/message.h
@@ -46,6 +46,9 @@
     static Response json(unsigned status, std::string body);
 };
 
+/** Percent-encodes all but unreserved characters and the slash, for a path or a query's value. */
+[[nodiscard]] std::string percentEncoded(const std::string &text);
+
 /** Bounds on what a peer may send. */
 struct Limits {
     std::size_t headerBytes = 16 * 1024;
--- a/src/store/consul_json.cpp
+++ b/src/store/consul_json.cpp
@@ -3,6 +3,8 @@
 #include <absl/strings/escaping.h>
 #include <nlohmann/json.hpp>
 
+#include "wire/json_status.h"
+
 namespace plantainfork::store
 {
 
@@ -64,17 +66,6 @@
     return entry;
 }
 
-/** Turns what the JSON library throws into a status. */
-template<typename Function>
-auto decodeWith(const std::string &body, Function function) -> absl::StatusOr<decltype(function(Json()))>
-{
-    try {
-        return function(Json::parse(body));
-    } catch (const std::exception &error) {
-        return absl::InternalError(std::string("the store's answer does not decode: ") + error.what());
-    }
-}
-
 } // namespace
 
 std::string encodeTransaction(const std::vector<Write> &writes)
@@ -93,7 +84,7 @@
 
 absl::StatusOr<std::vector<KeyValue>> decodeEntries(const std::string &body)
 {
-    return decodeWith(body, [](const Json &json) {
+    return wire::decodeJson(body, "answer of the store", [](const Json &json) {
         std::vector<KeyValue> entries;
         for (const auto &entry : json) {
             entries.push_back(decodeEntry(entry));
@@ -104,7 +95,7 @@
 
 absl::StatusOr<std::vector<KeyValue>> decodeWritten(const std::string &body, const std::vector<Write> &writes)
 {
-    return decodeWith(body, [&writes](const Json &json) {
+    return wire::decodeJson(body, "answer of the store", [&writes](const Json &json) {
         std::vector<KeyValue> entries;
         for (const auto &result : json.at("Results")) {
             KeyValue entry = decodeEntry(result.at("KV"));
@@ -121,7 +112,7 @@
 
 absl::StatusOr<SessionId> decodeSession(const std::string &body)
 {
-    return decodeWith(body, [](const Json &json) {
+    return wire::decodeJson(body, "answer of the store", [](const Json &json) {
         return SessionId(json.at("ID").get<std::string>());
     });
 }
--- a/src/store/http_store.cpp
+++ b/src/store/http_store.cpp
@@ -32,26 +32,6 @@
     return limits;
 }
 
-/** Percent-encodes all but unreserved characters and the slash. */
-std::string encodeKey(const std::string &key)
-{
-    constexpr std::string_view Digits = "0123456789ABCDEF";
-    constexpr std::string_view Unescaped = "-._~/";
-    std::string encoded;
-    for (const char character : key) {
-        const auto byte = static_cast<unsigned char>(character);
-        const bool isAlphanumeric = (byte >= '0' && byte <= '9') || (byte >= 'A' && byte <= 'Z') || (byte >= 'a' && byte <= 'z');
-        if (isAlphanumeric || Unescaped.find(character) != std::string_view::npos) {
-            encoded += character;
-        } else {
-            encoded += '%';
-            encoded += Digits[byte >> 4U];
-            encoded += Digits[byte & 15U];
-        }
-    }
-    return encoded;
-}
-
 absl::Status unexpected(const http::Response &response)
 {
     return absl::UnavailableError("store answered " + std::to_string(response.status) + ": " + response.body.substr(0, 200));
@@ -119,17 +99,18 @@
 
 asio::awaitable<absl::StatusOr<ReadResult>> HttpStore::read(std::string key, runtime::Instant deadline)
 {
-    return get(m_calls, m_read, "/v1/kv/" + encodeKey(key), deadline);
+    return get(m_calls, m_read, "/v1/kv/" + http::percentEncoded(key), deadline);
 }
 
 asio::awaitable<absl::StatusOr<ReadResult>> HttpStore::readPrefix(std::string prefix, runtime::Instant deadline)
 {
-    return get(m_calls, m_read, "/v1/kv/" + encodeKey(prefix) + "?recurse", deadline);
+    return get(m_calls, m_read, "/v1/kv/" + http::percentEncoded(prefix) + "?recurse", deadline);
 }
 
 asio::awaitable<absl::StatusOr<ReadResult>> HttpStore::watchPrefix(std::string prefix, Index after, std::chrono::milliseconds wait)
 {
-    std::string target = "/v1/kv/" + encodeKey(prefix) + "?recurse&index=" + std::to_string(after.value()) + "&wait=" + std::to_string(wait.count()) + "ms";
+    std::string target =
+        "/v1/kv/" + http::percentEncoded(prefix) + "?recurse&index=" + std::to_string(after.value()) + "&wait=" + std::to_string(wait.count()) + "ms";
     return get(m_watches, m_watch, std::move(target), runtime::Clock::now() + wait + WatchMargin);
 }
 
@@ -190,7 +171,7 @@
 {
     http::Request request;
     request.method = "PUT";
-    request.target = "/v1/session/renew/" + encodeKey(session.value());
+    request.target = "/v1/session/renew/" + http::percentEncoded(session.value());
     const http::Exchange exchange = co_await send(m_calls, m_session, std::move(request), deadline);
     if (!exchange.response.ok()) {
         co_return exchange.response.status();
@@ -208,7 +189,7 @@
 {
     http::Request request;
     request.method = "PUT";
-    request.target = "/v1/session/destroy/" + encodeKey(session.value());
+    request.target = "/v1/session/destroy/" + http::percentEncoded(session.value());
     const http::Exchange exchange = co_await send(m_calls, m_session, std::move(request), deadline);
     if (!exchange.response.ok()) {
         co_return exchange.response.status();
