batch: Give a new scheduler time to read all records on a narrow line

Cause: all states had to arrive within 1.5 s, which a megabyte over 10 Mbit/s shared by all of an entry's traffic may miss; a scheduler would then read for ever and place nothing. Change: the reads at the start of a term may take 6 s. Ruled out: nothing yet, the finding stays open.

--- a/src/batch/front.h
+++ b/src/batch/front.h
@@ -169,7 +169,7 @@
                 co_await runtime::sleepFor(RetryDelay);
                 continue;
             }
-            const Answer now = *found;
+            const Answer &now = *found;
             if (now.kind == AnswerKind::NoSuchJob) {
                 co_return now;
             }
--- a/src/batch/scheduler.h
+++ b/src/batch/scheduler.h
@@ -45,6 +45,8 @@
     static constexpr std::chrono::milliseconds RoundGap{4};
     /** Bound on one call to the store; its usual answer takes milliseconds, and a slow one about half a second. */
     static constexpr std::chrono::milliseconds StoreCall{1500};
+    /** Bound on reading all jobs or states at the start of a term: a megabyte takes a second on an entry's line of 10 Mbit/s. */
+    static constexpr std::chrono::milliseconds Load{6000};
     static constexpr std::chrono::milliseconds Watch{10'000};
     static constexpr std::chrono::milliseconds RetryDelay{100};
     /** A candidate waits this many store answer times before it stands, so that one near the store wins. */
@@ -394,7 +396,7 @@
     asio::awaitable<void> followJobs([[maybe_unused]] std::shared_ptr<Scheduler> self, std::shared_ptr<Term> term)
     {
         while (!term->isOver) {
-            const auto all = co_await m_store.readPrefix(std::string(keys::Jobs), deadline());
+            const auto all = co_await m_store.readPrefix(std::string(keys::Jobs), runtime::Clock::now() + SchedulerTiming::Load);
             if (!all.ok()) {
                 log::write(log::Severity::Warning, "jobs not read", {{"reason", std::string(all.status().message())}});
                 co_await runtime::sleepFor(SchedulerTiming::RetryDelay);
@@ -442,7 +444,7 @@
     /** What earlier schedulers recorded. Nobody else writes it any more: their office was the condition of each record. */
     asio::awaitable<bool> loadStates(Term &term)
     {
-        const auto all = co_await m_store.readPrefix(std::string(keys::States), deadline());
+        const auto all = co_await m_store.readPrefix(std::string(keys::States), runtime::Clock::now() + SchedulerTiming::Load);
         if (!all.ok()) {
             log::write(log::Severity::Warning, "states not read", {{"reason", std::string(all.status().message())}});
             co_return false;
