--- a/src/ctl/document.cpp
+++ b/src/ctl/document.cpp
@@ -193,6 +193,9 @@
         return Document{Json::parse(text).dump(), {}};
     } catch (const Json::parse_error &error) {
         findings.add(placeOfByte(text, error.byte == 0 ? 0 : error.byte - 1, source), parseErrorText(error));
+    } catch (const Json::exception &error) {
+        // A number beyond all ranges is well formed, and still can't be read.
+        findings.add(source, error.what());
     }
     return findings;
 }
--- a/tests/ctl/document_test.cpp
+++ b/tests/ctl/document_test.cpp
@@ -44,3 +44,8 @@
     REQUIRE(document.json == R"({"shape":{"members":8,"adjacency":"rack"},"urgency":"urgent","idempotent":false})");
     REQUIRE(ctl::assign(document, {"urgency", "=1", "urgency.deeper=1"}).all().size() == 3);
 }
+
+TEST_CASE("A number beyond all ranges is a finding")
+{
+    REQUIRE(std::holds_alternative<base::Findings>(ctl::parseJson("4444444444440444E4888888", "input")));
+}
