batch: Don't take gang members that have done their part for stalled

Cause: members of a gang end together; a member on a faster host stays at 100 % until the slower ones get there. Change: a member at 100 % isn't stalled. Lines on stopped units now give the progress and what is saved. Test: fails with the earlier rule (stops at the third second), passes now.

--- a/src/batch/planner.cpp
+++ b/src/batch/planner.cpp
@@ -276,7 +276,9 @@
 
     [[nodiscard]] bool isStalled(const Job &job, const Unit &unit, const Member &member) const
     {
-        const bool isWorking = member.phase == MemberPhase::Running && unit.stopping == StopReason::None && !job.stepOf(unit).isLasting;
+        // A member that has done its own work stays at 100 % until its gang ends.
+        const bool isWorking =
+            member.phase == MemberPhase::Running && unit.stopping == StopReason::None && !job.stepOf(unit).isLasting && member.percent < WholePercent;
         return isWorking && m_now - member.progressedAt >= m_bounds.stallLimit;
     }
 
--- a/src/batch/workload.cpp
+++ b/src/batch/workload.cpp
@@ -279,11 +279,17 @@
         return;
     }
     unit.stopping = reason;
+    std::string percents;
+    for (const auto &member : unit.members) {
+        percents += (percents.empty() ? "" : ",") + std::to_string(member.percent);
+    }
     log("unit stopping",
         {{"job", ref.job->spec.id.value()},
          {"unit", ref.job->taskOf(unit, 0).text()},
          {"attempt", std::to_string(unit.attempt.value())},
-         {"reason", std::string(stopReasonText(reason))}});
+         {"reason", std::string(stopReasonText(reason))},
+         {"percent", percents},
+         {"saved_percent", std::to_string(unit.savedPercent)}});
 }
 
 std::optional<std::pair<UnitRef, std::size_t>> Workload::find(const RunId &run, const HostId &host)
--- a/tests/batch/planner_test.cpp
+++ b/tests/batch/planner_test.cpp
@@ -197,6 +197,27 @@
     REQUIRE(plan.placements[0].hosts.front().value() == "b");
 }
 
+TEST_CASE("A gang isn't taken for stalled while members that have done their part wait for the slower ones")
+{
+    // Replays gangs over hosts of unlike speed, which were stopped at nine tenths of their work.
+    Floor floor;
+    floor.addHost("fast", "r1-1");
+    floor.addHost("slow", "r1-1");
+    floor.addHost("spare", "r1-2");
+    floor.addHost("other", "r1-2");
+    floor.addJob("gang", "long", "rif", {Floor::gang(2, 8, 10s)});
+    const auto hosts = floor.round().placements.at(0).hosts;
+    floor.pass(8s);
+    floor.runOrders(hosts[0].value(), 100);
+    for (std::uint32_t percent = 80; percent < 92; ++percent) {
+        floor.pass(1s);
+        floor.runOrders(hosts[1].value(), percent);
+        REQUIRE(floor.round().stops.empty());
+    }
+    floor.pass(10s);
+    REQUIRE(floor.round().stops.size() == 1);
+}
+
 TEST_CASE("A task without room near its data waits only as long as the slower run would cost")
 {
     Floor floor;
