batch: Split the planner by subject

Progress of what runs, the order of what waits, room on the hosts, and where a unit fits are files of their own; planner.cpp keeps the round's decisions.

--- a/src/batch/planner.h
+++ b/src/batch/planner.h
@@ -8,28 +8,15 @@
  */
 #pragma once
 
-#include <functional>
-#include <map>
 #include <set>
-#include <string>
 #include <vector>
 
+#include "batch/planner_bounds.h"
 #include "batch/workload.h"
 
 namespace plantainfork::batch
 {
 
-struct PlannerBounds {
-    /** How much longer work takes away from its data, or spread over racks. From the platform's bounds. */
-    double remoteFactor = 3.0;
-    /** Longest time that a stop takes. From the platform's bounds. */
-    std::chrono::milliseconds killGrace{900};
-    /** Blocked units that keep a reservation; more would leave too little for backfill. */
-    unsigned reservations = 6;
-    /** A running task that shows no progress for this long stands still; listings come once a second, and progress in whole percent. */
-    std::chrono::milliseconds stallLimit{2200};
-};
-
 struct Placement {
     UnitRef unit;
     std::vector<HostId> hosts;
@@ -58,7 +45,4 @@
     PlannerBounds m_bounds;
 };
 
-/** Rack of a host by its labels: the second of the two that hosts report. Empty if there is none. */
-[[nodiscard]] std::string rackOf(const HostReport &report);
-
 } // namespace plantainfork::batch
--- /dev/null
+++ b/src/batch/waiting_order.cpp
@@ -0,0 +1,126 @@
+#include "batch/waiting_order.h"
+
+#include <algorithm>
+
+namespace plantainfork::batch
+{
+
+namespace
+{
+
+/** Jobs that are late by more than this many times their objective earn nothing more. */
+constexpr int WorthlessAfterObjectives = 3;
+
+/** Longest chain of estimated work from the step to the end of the job. */
+Duration chainFrom(const Job &job, std::uint32_t from)
+{
+    const auto &steps = job.spec.steps;
+    std::vector<Duration> tail(steps.size(), Duration::zero());
+    for (std::size_t i = steps.size(); i-- > 0;) {
+        tail[i] += steps[i].estimate;
+        for (const auto before : steps[i].after) {
+            tail[before] = std::max(tail[before], tail[i]);
+        }
+    }
+    return tail[from];
+}
+
+Duration wholeChain(const Job &job)
+{
+    Duration longest = Duration::zero();
+    for (std::uint32_t step = 0; step < job.spec.steps.size(); ++step) {
+        longest = std::max(longest, chainFrom(job, step));
+    }
+    return longest;
+}
+
+} // namespace
+
+WaitingOrder::WaitingOrder(Workload &workload, Instant now, WallTime wallNow)
+    : m_workload(workload)
+    , m_now(now)
+    , m_wallNow(wallNow)
+{
+    collectEntitled();
+}
+
+bool WaitingOrder::isEntitled(const Job &job) const
+{
+    return m_entitled.contains(&job);
+}
+
+void WaitingOrder::collectEntitled()
+{
+    std::map<base::WorkspaceId, std::vector<Job *>> urgent;
+    for (auto &[id, job] : m_workload.jobs()) {
+        if (isEnded(job.status)) {
+            continue;
+        }
+        if (m_workload.priorityOf(job) == 0) {
+            urgent[job.spec.workspace].push_back(&job);
+        }
+    }
+    for (auto &[workspace, jobs] : urgent) {
+        entitle(workspace, jobs);
+    }
+}
+
+void WaitingOrder::entitle(const base::WorkspaceId &workspace, std::vector<Job *> &jobs)
+{
+    const auto &workspaces = m_workload.policy().workspaces;
+    const auto found = workspaces.find(workspace);
+    std::int64_t left = found != workspaces.end() ? found->second.guaranteedAccelerators : 0;
+    std::sort(jobs.begin(), jobs.end(), [](const Job *a, const Job *b) {
+        return a->acceptedAt < b->acceptedAt;
+    });
+    for (Job *job : jobs) {
+        std::int64_t need = 0;
+        for (const auto &step : job->spec.steps) {
+            need = std::max(need, step.tasks * step.need.accelerators);
+        }
+        if (need <= left) {
+            left -= need;
+            m_entitled.insert(job);
+        }
+    }
+}
+
+std::vector<Candidate> WaitingOrder::candidates() const
+{
+    std::vector<Candidate> all;
+    for (auto &[id, job] : m_workload.jobs()) {
+        for (auto &unit : job.units) {
+            if (job.isReady(unit, m_wallNow)) {
+                all.push_back(candidate(job, unit));
+            }
+        }
+    }
+    std::sort(all.begin(), all.end(), [](const Candidate &a, const Candidate &b) {
+        return a.key() < b.key();
+    });
+    return all;
+}
+
+Candidate WaitingOrder::candidate(Job &job, Unit &unit) const
+{
+    Candidate result;
+    result.ref = {&job, &unit};
+    result.priority = m_workload.priorityOf(job);
+    result.isEntitled = isEntitled(job);
+    result.runTime = scaled(job.stepOf(unit).estimate, 1.0 - static_cast<double>(unit.savedPercent) / WholePercent);
+    const Queue &queue = m_workload.queueOf(job);
+    const Duration objective = scaled(wholeChain(job), queue.slackFactor) + queue.latencyTarget;
+    Instant base = job.acceptedAt;
+    if (job.spec.occurrences > 0) {
+        base = m_now - (m_wallNow - job.dueAt(unit.occurrence));
+    }
+    for (const auto &step : job.spec.steps) {
+        result.jobWork += seconds(step.estimate) * weight(step.need) * step.tasks;
+    }
+    const Duration chain = chainFrom(job, unit.step);
+    result.latestStart = base + objective - chain;
+    result.lateness = m_now <= result.latestStart ? 0 : m_now <= base + WorthlessAfterObjectives * objective - chain ? 1 : 2;
+    return result;
+}
+
+} // namespace plantainfork::batch
