batch: Split scheduler and agent headers by subject; tell repeated failures of an order once in twenty

The term, the feed of jobs and the writing of state records leave scheduler.h (703 to 405 lines), the executor's interface leaves agent.h. No change of behaviour but one: a start or stop that fails is retried twenty times a second, and each try wrote a line; now the first and each twentieth do, with their number.

--- a/src/batch/agent.h
+++ b/src/batch/agent.h
@@ -6,7 +6,6 @@
 
 #include <algorithm>
 #include <chrono>
-#include <concepts>
 #include <functional>
 #include <map>
 #include <memory>
@@ -19,6 +18,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
+#include "batch/executor_port.h"
 #include "batch/messages.h"
 #include "batch/settings.h"
 #include "log/log.h"
@@ -32,68 +32,6 @@
 
 namespace asio = boost::asio;
 
-/** The executor's steady clock, in milliseconds since its start. */
-using ExecutorTime = std::chrono::milliseconds;
-
-enum class StartOutcome {
-    /** It runs, or has run. */
-    Started,
-    /** It doesn't run under this attempt and never will. */
-    Refused,
-    /** The executor obeys a higher token. */
-    Fenced,
-    /** Nothing is known; it may start until its deadline. */
-    Unknown,
-    /** Nothing has happened; it may be tried again. */
-    NotNow,
-};
-
-struct StartResult {
-    StartOutcome outcome = StartOutcome::Unknown;
-    std::string reason;
-};
-
-struct HoldRequest {
-    HostIncarnation incarnation;
-    base::FencingToken token;
-    /** Until when everything may run on; zero: unchanged. */
-    ExecutorTime until{0};
-    /** Ends up to this number are forgotten. */
-    std::uint64_t acknowledged = 0;
-    /** How long the answer may wait for an end. */
-    std::chrono::milliseconds wait{0};
-};
-
-struct Listing {
-    ExecutorTime clock{0};
-    std::vector<Running> running;
-    std::vector<Ended> ended;
-    /** Unix milliseconds of the executor's start; 0: not told. */
-    std::uint64_t born = 0;
-};
-
-/** The executor beside an agent. Calls return by their deadline; Aborted: it obeys a higher token; NotFound: another incarnation. */
-template<typename T>
-concept ExecutorPort = requires(T port,
-                                RunOrder order,
-                                RunId run,
-                                HoldRequest hold,
-                                HostIncarnation incarnation,
-                                base::FencingToken token,
-                                ExecutorTime until,
-                                runtime::Instant deadline)
-{
-    {
-        port.start(order, incarnation, token, until, deadline)
-        } -> std::same_as<asio::awaitable<StartResult>>;
-    {
-        port.stop(run, incarnation, token, deadline)
-        } -> std::same_as<asio::awaitable<absl::Status>>;
-    {
-        port.hold(hold, deadline)
-        } -> std::same_as<asio::awaitable<absl::StatusOr<Listing>>>;
-};
-
 template<ExecutorPort Executor>
 class Agent : public std::enable_shared_from_this<Agent<Executor>>
 {
@@ -188,6 +126,7 @@
     static constexpr std::chrono::milliseconds OrderRetryDelay{50};
     /** Life of a start on the executor's clock: an order that is carried out later than this is refused there. */
     static constexpr std::chrono::milliseconds StartLife{1500};
+    static constexpr unsigned FailuresPerLine = 20;
     /** Reports of changes that come closer together travel in one call. */
     static constexpr std::chrono::milliseconds ReportGap{3};
     /** Failed calls for each look at the store, which all agents share. */
@@ -454,6 +393,7 @@
     asio::awaitable<void> startRun([[maybe_unused]] std::shared_ptr<Agent> self, RunId run, HostIncarnation incarnation)
     {
         const auto begin = runtime::Clock::now();
+        unsigned failures = 0;
         while (isSame(incarnation) && isOrdered(run) && !isListed(run)) {
             if (m_listToken != m_token || runtime::Clock::now() >= m_authorityUntil) {
                 co_await m_ordered.waitUntil(runtime::Clock::now() + HoldRetryDelay);
@@ -474,11 +414,12 @@
                 }
                 break;
             }
-            note("start not done", run, result.reason);
             if (result.outcome == StartOutcome::Refused) {
+                note("start refused", run, result.reason);
                 co_await bar(run, incarnation);
                 break;
             }
+            noteFailure("start not done", run, result.reason, ++failures);
             co_await runtime::sleepFor(OrderRetryDelay);
         }
         m_starting.erase(run);
@@ -495,13 +436,14 @@
     /** Ends a run, or makes sure that it never begins. */
     asio::awaitable<void> bar(const RunId &run, const HostIncarnation &incarnation)
     {
+        unsigned failures = 0;
         while (isSame(incarnation) && (isOrdered(run) || isToStop(run))) {
             const auto stopped = co_await m_port.stop(run, incarnation, m_token, runtime::Clock::now() + OrderTimeout);
             if (stopped.ok()) {
                 co_await settleBar(run, incarnation);
                 co_return;
             }
-            note("stop not done", run, std::string(stopped.message()));
+            noteFailure("stop not done", run, std::string(stopped.message()), ++failures);
             co_await runtime::sleepFor(OrderRetryDelay);
         }
     }
@@ -627,6 +569,14 @@
         }
     }
 
+    /** Tries of one order come up to twenty times a second; the first failure and then every so many are told, with their number. */
+    void noteFailure(const char *event, const RunId &run, const std::string &reason, unsigned failures) const
+    {
+        if (failures % FailuresPerLine == 1) {
+            note(event, run, reason + " (try " + std::to_string(failures) + ")");
+        }
+    }
+
     void note(const char *event, const RunId &run, const std::string &reason) const
     {
         log::write(log::Severity::Info,
--- /dev/null
+++ b/src/batch/job_feed.h
@@ -0,0 +1,137 @@
+/**
+ * Brings the jobs of the store into a term: all of them with their states at its start, then each submission and cancellation as it
+ * is written.
+ */
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "batch/term.h"
+#include "runtime/timer.h"
+#include "wire/codec.h"
+
+namespace plantainfork::batch
+{
+
+namespace asio = boost::asio;
+
+template<store::ChangeFeed Store>
+class JobFeed
+{
+public:
+    explicit JobFeed(Store &store)
+        : m_store(store)
+    {
+    }
+
+    /** Reads all jobs and states, then follows the jobs until the term is over. */
+    asio::awaitable<void> follow(std::shared_ptr<Term> term)
+    {
+        while (!term->isOver) {
+            const auto all = co_await m_store.readPrefix(std::string(keys::Jobs), runtime::Clock::now() + SchedulerTiming::Load);
+            if (!all.ok()) {
+                log::write(log::Severity::Warning, "jobs not read", {{"reason", std::string(all.status().message())}});
+                co_await runtime::sleepFor(SchedulerTiming::RetryDelay);
+                continue;
+            }
+            bool isComplete = term->isLoaded;
+            if (!isComplete) {
+                isComplete = co_await loadStates(*term);
+            }
+            if (!isComplete) {
+                co_await runtime::sleepFor(SchedulerTiming::RetryDelay);
+                continue;
+            }
+            takeEntries(*term, all->entries);
+            if (!term->isLoaded) {
+                term->isLoaded = true;
+                log::write(log::Severity::Info, "jobs loaded", {{"jobs", std::to_string(term->workload.jobs().size())}});
+            }
+            term->wake.notify();
+            co_await followFrom(*term, all->index);
+        }
+    }
+
+private:
+    /** Follows changes until the history is gone or the term ends. */
+    asio::awaitable<void> followFrom(Term &term, store::Index index)
+    {
+        while (!term.isOver) {
+            const auto changes = co_await m_store.followPrefix(std::string(keys::Jobs), index, SchedulerTiming::Watch);
+            if (changes.ok()) {
+                index = changes->index;
+                takeEntries(term, changes->written);
+                if (!changes->written.empty()) {
+                    term.wake.notify();
+                }
+            } else if (absl::IsOutOfRange(changes.status())) {
+                log::write(log::Severity::Info, "history of jobs is gone, reading all");
+                co_return;
+            } else {
+                log::write(log::Severity::Warning, "jobs not followed", {{"reason", std::string(changes.status().message())}});
+                co_await runtime::sleepFor(SchedulerTiming::RetryDelay);
+            }
+        }
+    }
+
+    /** What earlier schedulers recorded. Nobody else writes it any more: their office was the condition of each record. */
+    asio::awaitable<bool> loadStates(Term &term)
+    {
+        const auto all = co_await m_store.readPrefix(std::string(keys::States), runtime::Clock::now() + SchedulerTiming::Load);
+        if (!all.ok()) {
+            log::write(log::Severity::Warning, "states not read", {{"reason", std::string(all.status().message())}});
+            co_return false;
+        }
+        for (const auto &entry : all->entries) {
+            const base::JobId id(entry.key.substr(keys::States.size()));
+            auto state = wire::decode<JobState>(entry.value);
+            if (state.ok()) {
+                term.states[id] = std::move(*state);
+                term.stateIndex[id] = entry.modified;
+            } else {
+                log::write(log::Severity::Error, "state record unreadable", {{"job", id.value()}, {"reason", std::string(state.status().message())}});
+            }
+        }
+        co_return true;
+    }
+
+    void takeEntries(Term &term, const std::vector<store::KeyValue> &entries)
+    {
+        for (const auto &entry : entries) {
+            const auto key = keys::parseJob(entry.key);
+            if (key && key->part == keys::JobPart::Spec) {
+                takeSpec(term, key->id, entry.value);
+            }
+        }
+        takeCancels(term, entries);
+    }
+
+    static void takeCancels(Term &term, const std::vector<store::KeyValue> &entries)
+    {
+        for (const auto &entry : entries) {
+            const auto key = keys::parseJob(entry.key);
+            if (key && key->part == keys::JobPart::Cancel) {
+                term.workload.cancelJob(key->id, wallNow());
+            }
+        }
+    }
+
+    static void takeSpec(Term &term, const base::JobId &id, const std::string &value)
+    {
+        auto spec = wire::decode<JobSpec>(value);
+        if (!spec.ok()) {
+            log::write(log::Severity::Error, "job record unreadable", {{"job", id.value()}, {"reason", std::string(spec.status().message())}});
+            return;
+        }
+        const auto state = term.states.extract(id);
+        term.workload.addJob(std::move(*spec), state ? std::optional(state.mapped()) : std::nullopt, runtime::Clock::now(), wallNow());
+    }
+
+    Store &m_store;
+};
+
+} // namespace plantainfork::batch
--- a/src/batch/scheduler.h
+++ b/src/batch/scheduler.h
@@ -17,18 +17,16 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
+#include "batch/job_feed.h"
 #include "batch/messages.h"
 #include "batch/planner.h"
 #include "batch/policy_holder.h"
-#include "batch/records.h"
 #include "batch/settings.h"
-#include "batch/workload.h"
+#include "batch/state_records.h"
 #include "log/log.h"
 #include "metrics/registry.h"
 #include "runtime/jitter.h"
-#include "runtime/signal.h"
 #include "runtime/timer.h"
-#include "store/key_value.h"
 #include "wire/codec.h"
 
 namespace plantainfork::batch
@@ -36,27 +34,6 @@
 
 namespace asio = boost::asio;
 
-struct SchedulerTiming {
-    /** A held call of an agent is answered at the latest after this; a third of the silence after which it counts as out of touch. */
-    static constexpr std::chrono::milliseconds LongestHeldCall{1000};
-    /** Rounds run at least this often, for what is due by time alone. */
-    static constexpr std::chrono::milliseconds RoundInterval{200};
-    /** Events that come closer together are decided in one round. */
-    static constexpr std::chrono::milliseconds RoundGap{4};
-    /** Bound on one call to the store; its usual answer takes milliseconds, and a slow one about half a second. */
-    static constexpr std::chrono::milliseconds StoreCall{1500};
-    /** Bound on reading all jobs or states at the start of a term: a megabyte takes a second on an entry's line of 10 Mbit/s. */
-    static constexpr std::chrono::milliseconds Load{6000};
-    static constexpr std::chrono::milliseconds Watch{10'000};
-    static constexpr std::chrono::milliseconds RetryDelay{100};
-    /** A candidate waits this many store answer times before it stands, so that one near the store wins. */
-    static constexpr int CandidateDelayAnswers = 4;
-    static constexpr std::chrono::milliseconds LongestCandidateDelay{400};
-    /** Records of one transaction: the store takes 32 entries, of which each record needs two and the office's condition one. */
-    static constexpr std::size_t RecordsPerTransaction = 15;
-    static constexpr std::chrono::seconds CleaningInterval{5};
-};
-
 template<store::ChangeFeed Store>
 class Scheduler : public std::enable_shared_from_this<Scheduler<Store>>
 {
@@ -68,10 +45,11 @@
         , m_policy(policy)
         , m_grant(settings.longestHold - GrantMargin)
         , m_planner(PlannerBounds{settings.remoteFactor, settings.killGrace})
+        , m_feed(store)
+        , m_records(settings, store, metrics)
         , m_wake(executor)
         , m_published(executor)
         , m_rounds(metrics.histogram("plantainfork_batch_round_seconds"))
-        , m_recordSeconds(metrics.histogram("plantainfork_batch_record_seconds"))
         , m_placements(metrics.counter("plantainfork_batch_placements_total"))
         , m_stops(metrics.counter("plantainfork_batch_stops_total"))
         , m_blocked(metrics.gauge("plantainfork_batch_blocked_units"))
@@ -92,7 +70,7 @@
             m_term->isOver = true;
             const auto session = m_term->session;
             m_published.notify();
-            const auto ended = co_await m_store.destroySession(session, deadline());
+            const auto ended = co_await m_store.destroySession(session, storeDeadline());
             log::write(log::Severity::Info, "office given up", {{"status", std::string(ended.message())}});
         }
     }
@@ -154,43 +132,6 @@
     /** Kept off the longest hold for the way of the grant to the executor. */
     static constexpr std::chrono::milliseconds GrantMargin{500};
 
-    /** One time in office. */
-    struct Term {
-        Term(base::FencingToken givenToken, WorkloadBounds bounds, runtime::Instant now)
-            : token(givenToken)
-            , workload(givenToken, bounds, now)
-        {
-        }
-
-        base::FencingToken token;
-        store::SessionId session;
-        /** The lease holds at least until then. */
-        runtime::Instant leaseUntil;
-        Workload workload;
-        bool isLoaded = false;
-        bool isOver = false;
-        /** The last try to write records failed; told once. */
-        bool isRecordFailing = false;
-        bool isRenewalFailing = false;
-        /** Revision of each job's state record; absent: there is none. */
-        std::map<base::JobId, store::Index> stateIndex;
-        /** States as read at the start of the term, until their jobs are known. */
-        std::map<base::JobId, JobState> states;
-        /** Orders as recorded and in force. */
-        std::map<HostId, Orders> orders;
-        /** Encoded orders as last published, to see changes. */
-        std::map<HostId, std::string> encoded;
-        store::Index jobsIndex;
-    };
-
-    static WallTime wallNow()
-    {
-        return std::chrono::time_point_cast<std::chrono::milliseconds>(std::chrono::system_clock::now());
-    }
-    static runtime::Instant deadline()
-    {
-        return runtime::Clock::now() + SchedulerTiming::StoreCall;
-    }
     [[nodiscard]] bool isInOffice() const
     {
         return m_term && !m_term->isOver;
@@ -250,7 +191,7 @@
         store::Index index;
         while (!m_isStopping) {
             const auto asked = runtime::Clock::now();
-            auto found = co_await m_store.read(std::string(keys::Leader), deadline());
+            auto found = co_await m_store.read(std::string(keys::Leader), storeDeadline());
             if (!found.ok()) {
                 log::write(log::Severity::Warning, "leader unknown", {{"reason", std::string(found.status().message())}});
                 co_await runtime::sleepFor(SchedulerTiming::RetryDelay * 3);
@@ -301,7 +242,7 @@
         row.expected = entry.modified;
         std::vector<store::Write> rows;
         rows.push_back(std::move(row));
-        const auto result = co_await m_store.transact(rows, deadline());
+        const auto result = co_await m_store.transact(rows, storeDeadline());
         log::write(log::Severity::Info, "office of the earlier process cleared", {{"token", std::to_string(entry.lockIndex)}, {"result", result.reason}});
         if (result.outcome != store::WriteOutcome::Applied) {
             co_await runtime::sleepFor(SchedulerTiming::RetryDelay);
@@ -311,7 +252,7 @@
     asio::awaitable<void> seekOffice()
     {
         const auto asked = runtime::Clock::now();
-        auto session = co_await m_store.createSession(m_settings.schedulerLease, deadline());
+        auto session = co_await m_store.createSession(m_settings.schedulerLease, storeDeadline());
         if (!session.ok()) {
             co_return;
         }
@@ -322,16 +263,16 @@
         lock.session = *session;
         std::vector<store::Write> rows;
         rows.push_back(lock);
-        const auto result = co_await m_store.transact(rows, deadline());
+        const auto result = co_await m_store.transact(rows, storeDeadline());
         if (result.outcome != store::WriteOutcome::Applied || result.written.empty()) {
             // An unanswered lock may still have been taken; ending the lease makes sure that it doesn't stand.
-            const auto ended = co_await m_store.destroySession(*session, deadline());
+            const auto ended = co_await m_store.destroySession(*session, storeDeadline());
             log::write(log::Severity::Info, "not elected", {{"reason", result.reason}, {"lease_ended", ended.ok() ? "true" : "false"}});
             co_return;
         }
         WorkloadBounds bounds;
         bounds.longestGrant = m_grant;
-        m_term = std::make_shared<Term>(base::FencingToken(result.written.front().lockIndex), bounds, runtime::Clock::now());
+        m_term = std::make_shared<Term>(base::FencingToken(result.written.front().lockIndex), bounds, runtime::Clock::now(), m_wake, m_published);
         m_term->session = *session;
         m_term->leaseUntil = asked + m_settings.schedulerLease;
         m_leader = m_settings.rpc;
@@ -343,8 +284,8 @@
     {
         const auto self = this->shared_from_this();
         asio::co_spawn(m_executor, renew(self, term), asio::detached);
-        asio::co_spawn(m_executor, followJobs(self, term), asio::detached);
-        asio::co_spawn(m_executor, clean(self, term), asio::detached);
+        asio::co_spawn(m_executor, m_feed.follow(term), [self](const std::exception_ptr &) {});
+        asio::co_spawn(m_executor, m_records.clean(term), [self](const std::exception_ptr &) {});
         while (!term->isOver) {
             if (term->isLoaded) {
                 co_await round(*term);
@@ -361,16 +302,6 @@
         }
     }
 
-    void endTerm(Term &term, const std::string &why)
-    {
-        if (!term.isOver) {
-            log::write(log::Severity::Warning, "office lost", {{"token", std::to_string(term.token.value())}, {"reason", why}});
-        }
-        term.isOver = true;
-        m_wake.notify();
-        m_published.notify();
-    }
-
     asio::awaitable<void> renew([[maybe_unused]] std::shared_ptr<Scheduler> self, std::shared_ptr<Term> term)
     {
         constexpr int RenewalsPerLease = 3;
@@ -384,116 +315,15 @@
                     log::write(log::Severity::Info, "lease renewed again");
                 }
             } else if (absl::IsNotFound(renewed)) {
-                endTerm(*term, "lease has ended");
+                term->end("lease has ended");
             } else if (runtime::Clock::now() > term->leaseUntil + m_grant) {
-                endTerm(*term, "store unreachable for longer than a grant");
+                term->end("store unreachable for longer than a grant");
             } else if (!std::exchange(term->isRenewalFailing, true)) {
                 log::write(log::Severity::Warning, "lease not renewed", {{"reason", std::string(renewed.message())}});
             }
         }
     }
 
-    asio::awaitable<void> followJobs([[maybe_unused]] std::shared_ptr<Scheduler> self, std::shared_ptr<Term> term)
-    {
-        while (!term->isOver) {
-            const auto all = co_await m_store.readPrefix(std::string(keys::Jobs), runtime::Clock::now() + SchedulerTiming::Load);
-            if (!all.ok()) {
-                log::write(log::Severity::Warning, "jobs not read", {{"reason", std::string(all.status().message())}});
-                co_await runtime::sleepFor(SchedulerTiming::RetryDelay);
-                continue;
-            }
-            bool isComplete = term->isLoaded;
-            if (!isComplete) {
-                isComplete = co_await loadStates(*term);
-            }
-            if (!isComplete) {
-                co_await runtime::sleepFor(SchedulerTiming::RetryDelay);
-                continue;
-            }
-            takeEntries(*term, all->entries);
-            if (!term->isLoaded) {
-                term->isLoaded = true;
-                log::write(log::Severity::Info, "jobs loaded", {{"jobs", std::to_string(term->workload.jobs().size())}});
-            }
-            m_wake.notify();
-            co_await followFrom(*term, all->index);
-        }
-    }
-
-    /** Follows changes until the history is gone or the term ends. */
-    asio::awaitable<void> followFrom(Term &term, store::Index index)
-    {
-        while (!term.isOver) {
-            const auto changes = co_await m_store.followPrefix(std::string(keys::Jobs), index, SchedulerTiming::Watch);
-            if (changes.ok()) {
-                index = changes->index;
-                takeEntries(term, changes->written);
-                if (!changes->written.empty()) {
-                    m_wake.notify();
-                }
-            } else if (absl::IsOutOfRange(changes.status())) {
-                log::write(log::Severity::Info, "history of jobs is gone, reading all");
-                co_return;
-            } else {
-                log::write(log::Severity::Warning, "jobs not followed", {{"reason", std::string(changes.status().message())}});
-                co_await runtime::sleepFor(SchedulerTiming::RetryDelay);
-            }
-        }
-    }
-
-    /** What earlier schedulers recorded. Nobody else writes it any more: their office was the condition of each record. */
-    asio::awaitable<bool> loadStates(Term &term)
-    {
-        const auto all = co_await m_store.readPrefix(std::string(keys::States), runtime::Clock::now() + SchedulerTiming::Load);
-        if (!all.ok()) {
-            log::write(log::Severity::Warning, "states not read", {{"reason", std::string(all.status().message())}});
-            co_return false;
-        }
-        for (const auto &entry : all->entries) {
-            const base::JobId id(entry.key.substr(keys::States.size()));
-            auto state = wire::decode<JobState>(entry.value);
-            if (state.ok()) {
-                term.states[id] = std::move(*state);
-                term.stateIndex[id] = entry.modified;
-            } else {
-                log::write(log::Severity::Error, "state record unreadable", {{"job", id.value()}, {"reason", std::string(state.status().message())}});
-            }
-        }
-        co_return true;
-    }
-
-    void takeEntries(Term &term, const std::vector<store::KeyValue> &entries)
-    {
-        for (const auto &entry : entries) {
-            const auto key = keys::parseJob(entry.key);
-            if (key && key->part == keys::JobPart::Spec) {
-                takeSpec(term, key->id, entry.value);
-            }
-        }
-        takeCancels(term, entries);
-    }
-
-    static void takeCancels(Term &term, const std::vector<store::KeyValue> &entries)
-    {
-        for (const auto &entry : entries) {
-            const auto key = keys::parseJob(entry.key);
-            if (key && key->part == keys::JobPart::Cancel) {
-                term.workload.cancelJob(key->id, wallNow());
-            }
-        }
-    }
-
-    static void takeSpec(Term &term, const base::JobId &id, const std::string &value)
-    {
-        auto spec = wire::decode<JobSpec>(value);
-        if (!spec.ok()) {
-            log::write(log::Severity::Error, "job record unreadable", {{"job", id.value()}, {"reason", std::string(spec.status().message())}});
-            return;
-        }
-        const auto state = term.states.extract(id);
-        term.workload.addJob(std::move(*spec), state ? std::optional(state.mapped()) : std::nullopt, runtime::Clock::now(), wallNow());
-    }
-
     asio::awaitable<void> round(Term &term)
     {
         const auto begin = runtime::Clock::now();
@@ -521,7 +351,7 @@
         }
         auto next = collectOrders(term);
         m_rounds.record(runtime::Clock::now() - begin);
-        const bool isRecorded = co_await record(term);
+        const bool isRecorded = co_await m_records.write(term);
         if (isRecorded) {
             publish(term, std::move(next));
         }
@@ -551,135 +381,6 @@
         m_published.notify();
     }
 
-    /** Writes the state of all jobs that have changed. Returns false when the office is lost. */
-    asio::awaitable<bool> record(Term &term)
-    {
-        std::vector<std::pair<base::JobId, std::string>> records;
-        for (auto &[id, job] : term.workload.jobs()) {
-            if (job.isDirty) {
-                records.emplace_back(id, wire::encode(term.workload.recordOf(job)));
-                job.isDirty = false;
-                job.hasNewCheckpoint = false;
-                job.recordedAt = runtime::Clock::now();
-            }
-        }
-        const auto begin = runtime::Clock::now();
-        for (std::size_t first = 0; first < records.size(); first += SchedulerTiming::RecordsPerTransaction) {
-            const auto last = std::min(first + SchedulerTiming::RecordsPerTransaction, records.size());
-            const std::vector<std::pair<base::JobId, std::string>> part(records.begin() + static_cast<std::ptrdiff_t>(first),
-                                                                        records.begin() + static_cast<std::ptrdiff_t>(last));
-            bool isWritten = co_await writeRecords(term, part);
-            while (!isWritten && !term.isOver) {
-                co_await runtime::sleepFor(SchedulerTiming::RetryDelay);
-                isWritten = co_await writeRecords(term, part);
-            }
-        }
-        if (!records.empty()) {
-            m_recordSeconds.record(runtime::Clock::now() - begin);
-        }
-        co_return !term.isOver;
-    }
-
-    /** Returns whether the records are written for good. */
-    asio::awaitable<bool> writeRecords(Term &term, const std::vector<std::pair<base::JobId, std::string>> &records)
-    {
-        std::vector<store::Write> rows;
-        store::Write lock;
-        lock.kind = store::Write::Kind::Lock;
-        lock.key = std::string(keys::Leader);
-        lock.value = wire::encode(LeaderRecord{m_settings.id, m_settings.rpc});
-        lock.session = term.session;
-        rows.push_back(std::move(lock));
-        for (const auto &[id, value] : records) {
-            store::Write row;
-            row.key = keys::state(id);
-            row.value = value;
-            const auto index = term.stateIndex.find(id);
-            row.expected = index != term.stateIndex.end() ? index->second : store::Index();
-            rows.push_back(std::move(row));
-        }
-        const auto result = co_await m_store.transact(rows, deadline());
-        if (result.outcome == store::WriteOutcome::Applied) {
-            if (std::exchange(term.isRecordFailing, false)) {
-                log::write(log::Severity::Info, "records written again", {{"records", std::to_string(records.size())}});
-            }
-            for (const auto &entry : result.written) {
-                if (entry.key.starts_with(keys::States)) {
-                    term.stateIndex[base::JobId(entry.key.substr(keys::States.size()))] = entry.modified;
-                }
-            }
-            co_return true;
-        }
-        if (!term.isRecordFailing) {
-            log::write(log::Severity::Warning, "records not written", {{"records", std::to_string(records.size())}, {"reason", result.reason}});
-        }
-        term.isRecordFailing = true;
-        if (result.outcome == store::WriteOutcome::Conflict) {
-            co_await settleConflict(term, records);
-        }
-        co_return false;
-    }
-
-    /** Either the office is lost, or an earlier write of ours took effect unanswered and the records have moved on. */
-    asio::awaitable<void> settleConflict(Term &term, const std::vector<std::pair<base::JobId, std::string>> &records)
-    {
-        const auto leader = co_await m_store.read(std::string(keys::Leader), deadline());
-        if (!leader.ok()) {
-            co_return;
-        }
-        if (leader->entries.empty() || leader->entries.front().session != term.session) {
-            endTerm(term, "another scheduler is in office");
-            co_return;
-        }
-        for (const auto &[id, value] : records) {
-            const auto state = co_await m_store.read(keys::state(id), deadline());
-            if (state.ok() && !state->entries.empty()) {
-                term.stateIndex[id] = state->entries.front().modified;
-            }
-        }
-    }
-
-    /** Removes the records of jobs that ended long ago. */
-    asio::awaitable<void> clean([[maybe_unused]] std::shared_ptr<Scheduler> self, std::shared_ptr<Term> term)
-    {
-        while (!term->isOver) {
-            co_await runtime::sleepFor(SchedulerTiming::CleaningInterval);
-            const auto oldest = wallNow().time_since_epoch() - std::chrono::milliseconds(m_settings.keepEnded);
-            std::vector<base::JobId> old;
-            for (const auto &[id, job] : term->workload.jobs()) {
-                const bool isOld = isEnded(job.status) && !job.isDirty && std::chrono::milliseconds(job.endedMs) < oldest;
-                if (isOld && old.size() < JobsCleanedAtOnce) {
-                    old.push_back(id);
-                }
-            }
-            for (const auto &id : old) {
-                co_await removeJob(*term, id);
-            }
-        }
-    }
-
-    asio::awaitable<void> removeJob(Term &term, const base::JobId &id)
-    {
-        const auto all = co_await m_store.readPrefix(keys::jobPrefix(id), deadline());
-        const auto index = term.stateIndex.find(id);
-        if (!all.ok() || index == term.stateIndex.end()) {
-            co_return;
-        }
-        std::vector<store::Write> rows;
-        for (const auto &entry : all->entries) {
-            rows.push_back({store::Write::Kind::Remove, entry.key, "", entry.modified, {}});
-        }
-        rows.push_back({store::Write::Kind::Remove, keys::state(id), "", index->second, {}});
-        const auto result = co_await m_store.transact(rows, deadline());
-        if (result.outcome == store::WriteOutcome::Applied) {
-            term.workload.forgetJob(id);
-            term.stateIndex.erase(id);
-            log::write(log::Severity::Debug, "job forgotten", {{"job", id.value()}});
-        }
-    }
-
-    static constexpr std::size_t JobsCleanedAtOnce = 8;
-
     asio::any_io_executor m_executor;
     const Settings &m_settings;
     Store &m_store;
@@ -687,6 +388,8 @@
     /** The longest that an agent may let its host run without hearing from the scheduler. */
     const std::chrono::milliseconds m_grant;
     Planner m_planner;
+    JobFeed<Store> m_feed;
+    StateRecords<Store> m_records;
     runtime::Signal m_wake;
     runtime::Signal m_published;
     std::shared_ptr<Term> m_term;
@@ -694,7 +397,6 @@
     std::vector<wire::Address> m_entries;
     bool m_isStopping = false;
     metrics::Histogram &m_rounds;
-    metrics::Histogram &m_recordSeconds;
     metrics::Counter &m_placements;
     metrics::Counter &m_stops;
     metrics::Gauge &m_blocked;
--- /dev/null
+++ b/src/batch/state_records.h
@@ -0,0 +1,178 @@
+/**
+ * The records of jobs' states in the store. Each write has the condition that this scheduler is still in office and that the record is
+ * the one it knows, so a scheduler that has lost its office changes nothing.
+ */
+#pragma once
+
+#include <algorithm>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "batch/settings.h"
+#include "batch/term.h"
+#include "metrics/registry.h"
+#include "runtime/timer.h"
+#include "wire/codec.h"
+
+namespace plantainfork::batch
+{
+
+namespace asio = boost::asio;
+
+template<store::ChangeFeed Store>
+class StateRecords
+{
+public:
+    StateRecords(const Settings &settings, Store &store, metrics::Registry &metrics)
+        : m_settings(settings)
+        , m_store(store)
+        , m_writeSeconds(metrics.histogram("plantainfork_batch_record_seconds"))
+    {
+    }
+
+    /** Writes the state of all jobs that have changed. Returns false when the office is lost. */
+    asio::awaitable<bool> write(Term &term)
+    {
+        const auto records = collect(term);
+        const auto begin = runtime::Clock::now();
+        for (std::size_t first = 0; first < records.size(); first += SchedulerTiming::RecordsPerTransaction) {
+            const auto last = std::min(first + SchedulerTiming::RecordsPerTransaction, records.size());
+            const Records part(records.begin() + static_cast<std::ptrdiff_t>(first), records.begin() + static_cast<std::ptrdiff_t>(last));
+            bool isWritten = co_await writePart(term, part);
+            while (!isWritten && !term.isOver) {
+                co_await runtime::sleepFor(SchedulerTiming::RetryDelay);
+                isWritten = co_await writePart(term, part);
+            }
+        }
+        if (!records.empty()) {
+            m_writeSeconds.record(runtime::Clock::now() - begin);
+        }
+        co_return !term.isOver;
+    }
+
+    /** Removes the records of jobs that ended long ago. */
+    asio::awaitable<void> clean(std::shared_ptr<Term> term)
+    {
+        while (!term->isOver) {
+            co_await runtime::sleepFor(SchedulerTiming::CleaningInterval);
+            const auto oldest = wallNow().time_since_epoch() - std::chrono::milliseconds(m_settings.keepEnded);
+            std::vector<base::JobId> old;
+            for (const auto &[id, job] : term->workload.jobs()) {
+                const bool isOld = isEnded(job.status) && !job.isDirty && std::chrono::milliseconds(job.endedMs) < oldest;
+                if (isOld && old.size() < JobsCleanedAtOnce) {
+                    old.push_back(id);
+                }
+            }
+            for (const auto &id : old) {
+                co_await removeJob(*term, id);
+            }
+        }
+    }
+
+private:
+    /** Each job with its encoded state. */
+    using Records = std::vector<std::pair<base::JobId, std::string>>;
+
+    static constexpr std::size_t JobsCleanedAtOnce = 8;
+
+    static Records collect(Term &term)
+    {
+        Records records;
+        for (auto &[id, job] : term.workload.jobs()) {
+            if (job.isDirty) {
+                records.emplace_back(id, wire::encode(term.workload.recordOf(job)));
+                job.isDirty = false;
+                job.hasNewCheckpoint = false;
+                job.recordedAt = runtime::Clock::now();
+            }
+        }
+        return records;
+    }
+
+    /** Returns whether the records are written for good. */
+    asio::awaitable<bool> writePart(Term &term, const Records &records)
+    {
+        std::vector<store::Write> rows;
+        store::Write lock;
+        lock.kind = store::Write::Kind::Lock;
+        lock.key = std::string(keys::Leader);
+        lock.value = wire::encode(LeaderRecord{m_settings.id, m_settings.rpc});
+        lock.session = term.session;
+        rows.push_back(std::move(lock));
+        for (const auto &[id, value] : records) {
+            store::Write row;
+            row.key = keys::state(id);
+            row.value = value;
+            const auto index = term.stateIndex.find(id);
+            row.expected = index != term.stateIndex.end() ? index->second : store::Index();
+            rows.push_back(std::move(row));
+        }
+        const auto result = co_await m_store.transact(rows, storeDeadline());
+        if (result.outcome == store::WriteOutcome::Applied) {
+            if (std::exchange(term.isRecordFailing, false)) {
+                log::write(log::Severity::Info, "records written again", {{"records", std::to_string(records.size())}});
+            }
+            for (const auto &entry : result.written) {
+                if (entry.key.starts_with(keys::States)) {
+                    term.stateIndex[base::JobId(entry.key.substr(keys::States.size()))] = entry.modified;
+                }
+            }
+            co_return true;
+        }
+        if (!term.isRecordFailing) {
+            log::write(log::Severity::Warning, "records not written", {{"records", std::to_string(records.size())}, {"reason", result.reason}});
+        }
+        term.isRecordFailing = true;
+        if (result.outcome == store::WriteOutcome::Conflict) {
+            co_await settleConflict(term, records);
+        }
+        co_return false;
+    }
+
+    /** Either the office is lost, or an earlier write of ours took effect unanswered and the records have moved on. */
+    asio::awaitable<void> settleConflict(Term &term, const Records &records)
+    {
+        const auto leader = co_await m_store.read(std::string(keys::Leader), storeDeadline());
+        if (!leader.ok()) {
+            co_return;
+        }
+        if (leader->entries.empty() || leader->entries.front().session != term.session) {
+            term.end("another scheduler is in office");
+            co_return;
+        }
+        for (const auto &[id, value] : records) {
+            const auto state = co_await m_store.read(keys::state(id), storeDeadline());
+            if (state.ok() && !state->entries.empty()) {
+                term.stateIndex[id] = state->entries.front().modified;
+            }
+        }
+    }
+
+    asio::awaitable<void> removeJob(Term &term, const base::JobId &id)
+    {
+        const auto all = co_await m_store.readPrefix(keys::jobPrefix(id), storeDeadline());
+        const auto index = term.stateIndex.find(id);
+        if (!all.ok() || index == term.stateIndex.end()) {
+            co_return;
+        }
+        std::vector<store::Write> rows;
+        for (const auto &entry : all->entries) {
+            rows.push_back({store::Write::Kind::Remove, entry.key, "", entry.modified, {}});
+        }
+        rows.push_back({store::Write::Kind::Remove, keys::state(id), "", index->second, {}});
+        const auto result = co_await m_store.transact(rows, storeDeadline());
+        if (result.outcome == store::WriteOutcome::Applied) {
+            term.workload.forgetJob(id);
+            term.stateIndex.erase(id);
+            log::write(log::Severity::Debug, "job forgotten", {{"job", id.value()}});
+        }
+    }
+
+    const Settings &m_settings;
+    Store &m_store;
+    metrics::Histogram &m_writeSeconds;
+};
+
+} // namespace plantainfork::batch
