tests: A soak of the batch service over real processes, with a stand-in of the platform

The store, executors and callers' side of the platform's protocol stand in one process; entries and agents are real processes, troubled from outside: killed, paused, stopped, cut from the store or from their executor by a relay, connections swallowed or reset; the store silent, turning away, slow, losing answers, applying late, forgetting; executors crashing, failing, starting late; the policy changing. A ledger checks the promises on jobs as callers and executors see them; each rule has a test that breaks it.

--- /dev/null
+++ b/tests/platform/soak/callers.h
@@ -0,0 +1,60 @@
+/** Callers of the service: they submit jobs of several kinds, repeat what was not answered, cancel some, and ask what became of them. */
+#pragma once
+
+#include <chrono>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+
+#include "http/client.h"
+#include "platform/soak/ledger.h"
+#include "standins/program.h"
+
+namespace plantainfork::soak
+{
+
+namespace asio = boost::asio;
+
+class Callers
+{
+public:
+    Callers(asio::any_io_executor executor, Ledger &ledger, std::vector<standins::Endpoint> entries, std::uint64_t seed);
+
+    /** Submits a job each interval for that long. */
+    asio::awaitable<void> submitFor(std::chrono::milliseconds length, std::chrono::milliseconds interval);
+    /** Asks for all open jobs, over and over, until none is open or the limit is reached. */
+    asio::awaitable<void> awaitEnds(std::chrono::milliseconds limit);
+
+    /** The desired state that the jobs go by. */
+    static std::string policy(std::uint64_t version);
+    /** Failed runs after which a task has failed, as the desired state says. */
+    static constexpr unsigned MostFailures = 3;
+
+private:
+    struct Sent {
+        std::string path;
+        std::string host;
+        std::string body;
+    };
+
+    asio::awaitable<void> follow(std::string job, Sent sent);
+    asio::awaitable<Told> submit(const std::string &job, const Sent &sent);
+    asio::awaitable<void> cancel(std::string job, Sent sent);
+    asio::awaitable<std::string> ask(const std::string &job, const Sent &sent);
+    asio::awaitable<http::Exchange> call(std::string method, const Sent &sent);
+    Sent draw(const std::string &job);
+    unsigned below(unsigned bound);
+
+    asio::any_io_executor m_executor;
+    Ledger &m_ledger;
+    std::vector<std::unique_ptr<http::Client>> m_entries;
+    std::mt19937_64 m_random;
+    std::uint64_t m_lastJob = 0;
+    std::map<std::string, Sent> m_sent;
+};
+
+} // namespace plantainfork::soak
--- /dev/null
+++ b/tests/platform/soak/ledger.cpp
@@ -0,0 +1,257 @@
+#include "platform/soak/ledger.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <utility>
+
+namespace plantainfork::soak
+{
+
+namespace
+{
+
+/** Bound on starts after an acknowledged cancel. From the platform's bounds. */
+constexpr std::chrono::milliseconds CancelBound{3000};
+/** From its acceptance until every entry must know a job. From the platform's bounds. */
+constexpr std::chrono::milliseconds VisibleBound{3000};
+
+} // namespace
+
+std::optional<TaskName> TaskName::parse(const std::string &text)
+{
+    TaskName name;
+    const auto dot = text.find('.');
+    if (dot == std::string::npos || std::sscanf(text.c_str() + dot, ".%u.%u.%u", &name.occurrence, &name.step, &name.index) != 3) {
+        return std::nullopt;
+    }
+    name.job = text.substr(0, dot);
+    return name;
+}
+
+std::string TaskName::text() const
+{
+    return job + "." + std::to_string(occurrence) + "." + std::to_string(step) + "." + std::to_string(index);
+}
+
+Ledger::Ledger(unsigned mostFailures)
+    : m_mostFailures(mostFailures)
+{
+}
+
+void Ledger::report(const std::string &rule, const std::string &detail)
+{
+    m_violations.push_back(rule + ": " + detail);
+}
+
+void Ledger::submitted(const std::string &job, JobPlan plan)
+{
+    m_jobs[job].plan = std::move(plan);
+}
+
+void Ledger::told(const std::string &job, Told told, Instant now)
+{
+    Job &entry = m_jobs.at(job);
+    if (told == Told::Accepted && !entry.isAccepted) {
+        entry.isAccepted = true;
+        entry.acceptedAt = now;
+    }
+    entry.isEverUnclear = entry.isEverUnclear || told == Told::Unclear;
+}
+
+void Ledger::cancelSent(const std::string &job)
+{
+    m_jobs.at(job).isCancelSent = true;
+}
+
+void Ledger::cancelAcknowledged(const std::string &job, Instant now)
+{
+    Job &entry = m_jobs.at(job);
+    entry.cancelledAt = entry.cancelledAt.value_or(now);
+}
+
+void Ledger::shown(const std::string &job, const std::string &state, Instant now)
+{
+    Job &entry = m_jobs.at(job);
+    if (state.empty()) {
+        if (entry.isAccepted && now > entry.acceptedAt + VisibleBound) {
+            report("lost", job + " was accepted and is said not to exist");
+        }
+        return;
+    }
+    const bool wasEnded = entry.state == "complete" || entry.state == "failed" || entry.state == "cancelled";
+    if (wasEnded && state != entry.state) {
+        report("mixed", job + " was shown as " + entry.state + " and then as " + state);
+    }
+    entry.state = state;
+    if (state == "complete") {
+        for (unsigned step = 0; step < entry.plan.steps.size(); ++step) {
+            if (!isStepDone(entry, 0, step)) {
+                report("mixed", job + " is shown as complete, but step " + std::to_string(step) + " is not done");
+            }
+        }
+    }
+    if (state == "cancelled" && !entry.isCancelSent) {
+        report("lost", job + " is shown as cancelled, and nobody cancelled it");
+    }
+    const bool canFail = std::any_of(entry.tasks.begin(), entry.tasks.end(), [this](const auto &task) {
+        return task.second.notedFailures >= m_mostFailures;
+    });
+    if (state == "failed" && !canFail) {
+        report("lost", job + " is shown as failed without enough failed runs");
+    }
+}
+
+bool Ledger::isStepDone(const Job &job, unsigned occurrence, unsigned step)
+{
+    const StepPlan &plan = job.plan.steps.at(step);
+    unsigned done = 0;
+    for (const auto &[name, task] : job.tasks) {
+        done += name.occurrence == occurrence && name.step == step && task.isDone ? 1 : 0;
+    }
+    return plan.isGang ? done > 0 : done == plan.tasks;
+}
+
+void Ledger::checkStart(const Job &job, const Task &task, const TaskName &name, bool isLate, Instant now)
+{
+    if (!task.running.empty()) {
+        report("twice", name.text() + " started while it runs on " + *task.running.begin());
+    }
+    if (task.isDoneNoted) {
+        report("twice", name.text() + " started after its done end was taken note of");
+    }
+    for (const auto before : job.plan.steps[name.step].after) {
+        if (!isStepDone(job, name.occurrence, before)) {
+            report("order", name.text() + " started before step " + std::to_string(before) + " was done");
+        }
+    }
+    if (!isLate && job.cancelledAt && now > *job.cancelledAt + CancelBound) {
+        report("unasked", name.text() + " started long after its job's cancel was acknowledged");
+    }
+    if (task.notedFailures >= m_mostFailures) {
+        report("budget", name.text() + " started after " + std::to_string(task.notedFailures) + " failed runs");
+    }
+}
+
+void Ledger::started(const TaskName &task, std::uint64_t attempt, const std::string &payload, const std::string &executor, bool isLate, Instant now)
+{
+    const auto job = m_jobs.find(task.job);
+    const bool isKnown = job != m_jobs.end() && task.step < job->second.plan.steps.size() && task.index < job->second.plan.steps[task.step].tasks;
+    if (!isKnown || payload != job->second.plan.payload) {
+        report("unasked", task.text() + " attempt " + std::to_string(attempt) + " was started with what nobody sent");
+        return;
+    }
+    ++job->second.starts;
+    Task &entry = job->second.tasks[task];
+    checkStart(job->second, entry, task, isLate, now);
+    entry.running.insert(executor);
+    for (auto &[other, starts] : entry.startsSinceDone) {
+        ++starts;
+    }
+}
+
+void Ledger::ended(const TaskName &task, std::uint64_t, const std::string &how, const std::string &executor)
+{
+    const auto job = m_jobs.find(task.job);
+    if (job == m_jobs.end()) {
+        return;
+    }
+    Task &entry = job->second.tasks[task];
+    if (const auto run = entry.running.find(executor); run != entry.running.end()) {
+        entry.running.erase(run);
+    }
+    if (how == "done") {
+        entry.isDone = true;
+        entry.startsSinceDone[executor] = 0;
+    }
+}
+
+void Ledger::noted(const TaskName &task, std::uint64_t, const std::string &how, const std::string &executor)
+{
+    const auto job = m_jobs.find(task.job);
+    if (job == m_jobs.end()) {
+        return;
+    }
+    Task &entry = job->second.tasks[task];
+    if (how == "failed") {
+        ++entry.notedFailures;
+    }
+    const auto done = entry.startsSinceDone.find(executor);
+    if (how != "done" || done == entry.startsSinceDone.end()) {
+        return;
+    }
+    if (done->second > 0 && !entry.lapsedSinceDone.contains(executor)) {
+        report("twice", task.text() + " was started again after its done end on " + executor + ", which was then taken note of");
+    }
+    entry.startsSinceDone.erase(done);
+    entry.isDoneNoted = entry.isDoneNoted || !entry.lapsedSinceDone.contains(executor);
+}
+
+void Ledger::lapsed(const std::string &executor)
+{
+    for (auto &[id, job] : m_jobs) {
+        for (auto &[name, task] : job.tasks) {
+            if (task.startsSinceDone.contains(executor)) {
+                task.lapsedSinceDone.insert(executor);
+            }
+        }
+    }
+}
+
+void Ledger::crashed(const std::string &executor)
+{
+    for (auto &[id, job] : m_jobs) {
+        for (auto &[name, task] : job.tasks) {
+            task.running.erase(executor);
+            // An end that nobody took note of is gone: the task may have to run again, whatever it did.
+            if (task.startsSinceDone.erase(executor) > 0 && !task.isDoneNoted) {
+                task.isDone = !task.startsSinceDone.empty();
+            }
+        }
+    }
+}
+
+std::vector<std::string> Ledger::open() const
+{
+    std::vector<std::string> jobs;
+    for (const auto &[id, job] : m_jobs) {
+        const bool isEnded = job.state == "complete" || job.state == "failed" || job.state == "cancelled";
+        if (job.isAccepted && !isEnded) {
+            jobs.push_back(id);
+        }
+    }
+    return jobs;
+}
+
+void Ledger::finish()
+{
+    for (const auto &id : open()) {
+        report("lost", id + " was accepted and is still " + (m_jobs.at(id).state.empty() ? "unknown" : m_jobs.at(id).state));
+    }
+    for (const auto &[id, job] : m_jobs) {
+        if (!job.isAccepted && !job.isEverUnclear && job.starts > 0) {
+            report("refused", id + " ran, and all its callers heard that it never will");
+        }
+    }
+}
+
+const JobPlan *Ledger::plan(const std::string &job) const
+{
+    const auto found = m_jobs.find(job);
+    return found == m_jobs.end() ? nullptr : &found->second.plan;
+}
+
+std::string Ledger::summary() const
+{
+    std::map<std::string, unsigned> counts;
+    for (const auto &[id, job] : m_jobs) {
+        ++counts[job.isAccepted ? (job.state.empty() ? "unseen" : job.state) : "not accepted"];
+        counts["starts"] += job.starts;
+    }
+    std::string text = "jobs " + std::to_string(m_jobs.size());
+    for (const auto &[name, count] : counts) {
+        text += ", " + name + " " + std::to_string(count);
+    }
+    return text;
+}
+
+} // namespace plantainfork::soak
--- /dev/null
+++ b/tests/platform/soak/ledger.h
@@ -0,0 +1,125 @@
+/**
+ * What callers sent and were told, and what executors started and ended, checked against the service's promises as it happens: no
+ * accepted job is lost or done twice, nothing runs that nobody asked for or after a cancel, steps keep their order.
+ */
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "runtime/clock.h"
+
+namespace plantainfork::soak
+{
+
+using runtime::Instant;
+
+struct StepPlan {
+    unsigned tasks = 1;
+    unsigned accelerators = 1;
+    std::chrono::milliseconds work{0};
+    bool isGang = false;
+    bool hasCheckpoints = false;
+    std::vector<unsigned> after;
+    /** All its tasks fail by their own fault. */
+    bool alwaysFails = false;
+};
+
+struct JobPlan {
+    std::string payload;
+    std::vector<StepPlan> steps;
+};
+
+/** A task's name in its parts. */
+struct TaskName {
+    std::string job;
+    unsigned occurrence = 0;
+    unsigned step = 0;
+    unsigned index = 0;
+
+    /** Reads ID.OCCURRENCE.STEP.INDEX. */
+    static std::optional<TaskName> parse(const std::string &text);
+    [[nodiscard]] std::string text() const;
+    auto operator<=>(const TaskName &) const = default;
+};
+
+enum class Told {
+    Accepted,
+    Refused,
+    /** No answer, or one that leaves it open. */
+    Unclear,
+};
+
+class Ledger
+{
+public:
+    /** Failed runs after which a task may not start again. */
+    explicit Ledger(unsigned mostFailures);
+
+    void submitted(const std::string &job, JobPlan plan);
+    void told(const std::string &job, Told told, Instant now);
+    void cancelSent(const std::string &job);
+    void cancelAcknowledged(const std::string &job, Instant now);
+    /** A status that a caller read; empty: there is no such job. */
+    void shown(const std::string &job, const std::string &state, Instant now);
+
+    /** isLate: the executor carried out an order that it hadn't answered. */
+    void started(const TaskName &task, std::uint64_t attempt, const std::string &payload, const std::string &executor, bool isLate, Instant now);
+    void ended(const TaskName &task, std::uint64_t attempt, const std::string &how, const std::string &executor);
+    /** The end was taken note of. */
+    void noted(const TaskName &task, std::uint64_t attempt, const std::string &how, const std::string &executor);
+    /** The executor's right to run has lapsed: from then on others may have been given its tasks. */
+    void lapsed(const std::string &executor);
+    /** Its process is gone, with all that ran and all ends that weren't taken note of. */
+    void crashed(const std::string &executor);
+
+    /** Accepted jobs that haven't been shown as ended. */
+    [[nodiscard]] std::vector<std::string> open() const;
+    /** Judges what can be said only once everything has come to rest. */
+    void finish();
+
+    [[nodiscard]] const JobPlan *plan(const std::string &job) const;
+    [[nodiscard]] const std::vector<std::string> &violations() const
+    {
+        return m_violations;
+    }
+    [[nodiscard]] std::string summary() const;
+
+private:
+    struct Task {
+        /** Executors on which it runs now. */
+        std::multiset<std::string> running;
+        unsigned notedFailures = 0;
+        bool isDone = false;
+        bool isDoneNoted = false;
+        /** Executors whose done end isn't noted yet, with the starts since. */
+        std::map<std::string, unsigned> startsSinceDone;
+        std::set<std::string> lapsedSinceDone;
+    };
+    struct Job {
+        JobPlan plan;
+        bool isAccepted = false;
+        bool isEverUnclear = false;
+        unsigned starts = 0;
+        bool isCancelSent = false;
+        Instant acceptedAt;
+        std::optional<Instant> cancelledAt;
+        std::string state;
+        std::map<TaskName, Task> tasks;
+    };
+
+    void report(const std::string &rule, const std::string &detail);
+    [[nodiscard]] static bool isStepDone(const Job &job, unsigned occurrence, unsigned step);
+    void checkStart(const Job &job, const Task &task, const TaskName &name, bool isLate, Instant now);
+
+    unsigned m_mostFailures;
+    std::map<std::string, Job> m_jobs;
+    std::vector<std::string> m_violations;
+};
+
+} // namespace plantainfork::soak
--- /dev/null
+++ b/tests/platform/soak/ledger_test.cpp
@@ -0,0 +1,175 @@
+/** The ledger finds each promise broken, and nothing in a sound history. */
+#include <algorithm>
+
+#include <catch2/catch.hpp>
+
+#include "platform/soak/ledger.h"
+
+using namespace plantainfork;
+using namespace std::chrono_literals;
+using soak::Told;
+
+namespace
+{
+
+const std::string Job = "00000000000000aa";
+const soak::TaskName First{Job, 0, 0, 0};
+const soak::TaskName Second{Job, 0, 1, 0};
+
+struct History {
+    History()
+        : ledger(2)
+    {
+        soak::JobPlan plan;
+        plan.payload = "work";
+        plan.steps.resize(2);
+        plan.steps[1].after = {0};
+        ledger.submitted(Job, plan);
+    }
+    void accept()
+    {
+        ledger.told(Job, Told::Accepted, now);
+    }
+    void start(const soak::TaskName &task, std::uint64_t attempt, const std::string &host = "a")
+    {
+        ledger.started(task, attempt, "work", host, false, now);
+    }
+    void finish(const soak::TaskName &task, std::uint64_t attempt, const std::string &how, const std::string &host = "a")
+    {
+        ledger.ended(task, attempt, how, host);
+        ledger.noted(task, attempt, how, host);
+    }
+    [[nodiscard]] bool breaks(const std::string &rule) const
+    {
+        const auto &all = ledger.violations();
+        return std::any_of(all.begin(), all.end(), [&rule](const std::string &text) {
+            return text.starts_with(rule + ":");
+        });
+    }
+
+    soak::Ledger ledger;
+    runtime::Instant now = runtime::Instant(1000s);
+};
+
+} // namespace
+
+TEST_CASE("A job that runs step by step and is shown as complete breaks nothing")
+{
+    History history;
+    history.accept();
+    history.start(First, 1);
+    history.finish(First, 1, "failed");
+    history.start(First, 2, "b");
+    history.finish(First, 2, "done", "b");
+    history.start(Second, 1);
+    history.finish(Second, 1, "done");
+    history.ledger.shown(Job, "complete", history.now);
+    history.ledger.finish();
+    REQUIRE(history.ledger.violations().empty());
+}
+
+TEST_CASE("Two runs at a time, or one after a noted end, are doubled work")
+{
+    History history;
+    history.accept();
+    history.start(First, 1);
+    SECTION("at a time")
+    {
+        history.start(First, 2, "b");
+    }
+    SECTION("after the end")
+    {
+        history.finish(First, 1, "done");
+        history.start(First, 2, "b");
+    }
+    SECTION("after an end that is noted later")
+    {
+        history.ledger.ended(First, 1, "done", "a");
+        history.start(First, 2, "b");
+        history.ledger.noted(First, 1, "done", "a");
+    }
+    REQUIRE(history.breaks("twice"));
+}
+
+TEST_CASE("A run again after its host crashed, or lapsed, isn't doubled")
+{
+    History history;
+    history.accept();
+    history.start(First, 1);
+    SECTION("crashed")
+    {
+        history.ledger.crashed("a");
+        history.start(First, 2, "b");
+    }
+    SECTION("lapsed with an end that nobody had heard")
+    {
+        history.ledger.ended(First, 1, "done", "a");
+        history.ledger.lapsed("a");
+        history.start(First, 2, "b");
+        history.ledger.noted(First, 1, "done", "a");
+    }
+    REQUIRE_FALSE(history.breaks("twice"));
+}
+
+TEST_CASE("Order, budget, cancels, unknown work and false answers are checked")
+{
+    History history;
+    SECTION("order")
+    {
+        history.start(Second, 1);
+        REQUIRE(history.breaks("order"));
+    }
+    SECTION("budget")
+    {
+        for (std::uint64_t attempt = 1; attempt <= 3; ++attempt) {
+            history.start(First, attempt);
+            history.finish(First, attempt, "failed");
+        }
+        REQUIRE(history.breaks("budget"));
+    }
+    SECTION("cancel")
+    {
+        history.accept();
+        history.ledger.cancelSent(Job);
+        history.ledger.cancelAcknowledged(Job, history.now);
+        history.now += 3001ms;
+        history.start(First, 1);
+        REQUIRE(history.breaks("unasked"));
+    }
+    SECTION("another payload")
+    {
+        history.ledger.started(First, 1, "other", "a", false, history.now);
+        REQUIRE(history.breaks("unasked"));
+    }
+    SECTION("refused, and yet it ran")
+    {
+        history.ledger.told(Job, Told::Refused, history.now);
+        history.start(First, 1);
+        history.ledger.finish();
+        REQUIRE(history.breaks("refused"));
+    }
+    SECTION("complete too soon")
+    {
+        history.accept();
+        history.ledger.shown(Job, "complete", history.now);
+        REQUIRE(history.breaks("mixed"));
+    }
+    SECTION("said not to exist")
+    {
+        history.accept();
+        history.ledger.shown(Job, "", history.now + 3001ms);
+        REQUIRE(history.breaks("lost"));
+    }
+    SECTION("never ended")
+    {
+        history.accept();
+        history.ledger.finish();
+        REQUIRE(history.breaks("lost"));
+    }
+    SECTION("failed without a cause")
+    {
+        history.accept();
+        history.ledger.shown(Job, "failed", history.now);
+        REQUIRE(history.breaks("lost"));
+    }
+}
--- /dev/null
+++ b/tests/platform/soak/site.cpp
@@ -0,0 +1,277 @@
+#include "platform/soak/site.h"
+
+#include <csignal>
+#include <fstream>
+#include <utility>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include "platform/soak/callers.h"
+#include "runtime/timer.h"
+
+namespace plantainfork::soak
+{
+
+namespace
+{
+
+constexpr unsigned HostsPerRack = 2;
+constexpr std::chrono::milliseconds EndLimit{8000};
+constexpr std::chrono::milliseconds SlowStore{300};
+constexpr unsigned LostAnswers = 6;
+constexpr unsigned OrdersCarriedOutLate = 4;
+const std::string OperatorKey = "op/config";
+
+/** A port that nothing listens on, from the given one on. */
+std::uint16_t freePort(asio::io_context &context, std::uint16_t from)
+{
+    boost::system::error_code error;
+    do {
+        asio::ip::tcp::acceptor probe(context);
+        probe.open(asio::ip::tcp::v4());
+        probe.set_option(asio::ip::tcp::acceptor::reuse_address(true));
+        error.clear();
+        probe.bind({asio::ip::make_address("127.0.0.1"), from}, error);
+        ++from;
+    } while (error);
+    return from - 1;
+}
+
+} // namespace
+
+Site::Site(asio::io_context &context, const SiteOptions &options, Ledger &ledger)
+    : m_context(context)
+    , m_options(options)
+    , m_store(context.get_executor())
+    , m_floor(ledger)
+    , m_nextPort(options.firstPort)
+{
+}
+
+standins::Endpoint Site::nextAddress()
+{
+    const auto port = freePort(m_context, m_nextPort);
+    m_nextPort = port + 1;
+    return {"127.0.0.1", port};
+}
+
+std::unique_ptr<Site::Daemon> Site::makeDaemon(const std::string &name)
+{
+    auto daemon = std::make_unique<Daemon>();
+    daemon->name = name;
+    daemon->settings = m_options.folder / (name + ".toml");
+    daemon->storeLink = std::make_unique<standins::Link>(m_context, std::chrono::milliseconds(0), 0);
+    return daemon;
+}
+
+void Site::start()
+{
+    m_storeServer = standins::listen(m_context, {"127.0.0.1", 0}, [this](http::Request request) {
+        return m_store.answer(std::move(request));
+    });
+    asio::co_spawn(m_context, m_store.expireLeases(), asio::detached);
+    m_store.put(OperatorKey, Callers::policy(m_policyVersion));
+    for (unsigned i = 0; i < m_options.entries; ++i) {
+        m_entries.push_back(makeDaemon("entry-" + std::to_string(i)));
+        writeEntry(*m_entries.back());
+    }
+    for (unsigned i = 0; i < m_options.hosts; ++i) {
+        Host host;
+        const std::string rack = "r1-" + std::to_string(i / HostsPerRack);
+        host.executor = std::make_unique<Executor>(m_context.get_executor(), m_floor, "i-" + std::to_string(i), rack, ExecutorBounds());
+        host.link = std::make_unique<standins::Link>(m_context, std::chrono::milliseconds(0), 0);
+        host.agent = makeDaemon("agent-" + std::to_string(i));
+        writeAgent(host, i);
+        m_hosts.push_back(std::move(host));
+    }
+    for (auto *daemon : daemons()) {
+        launch(*daemon);
+    }
+}
+
+void Site::writeEntry(Daemon &daemon)
+{
+    const auto store = daemon.storeLink->addRoute({"127.0.0.1", 0}, {"127.0.0.1", m_storeServer->port()}, standins::Heading::There);
+    const auto rpc = nextAddress();
+    daemon.http = nextAddress();
+    m_entryRpc.push_back(rpc.text());
+    std::ofstream(daemon.settings) << "role = \"entry\"\nid = \"" << daemon.name << "\"\nregion = \"lima\"\ndata_centre = \"lima-a\"\nrpc = \"" << rpc.text()
+                                   << "\"\nhttp = \"" << daemon.http.text() << "\"\nreadiness = \"" << nextAddress().text() << "\"\nstore = \"" << store.text()
+                                   << "\"\nentries = []\nlongest_hold_ms = 4000\nkill_grace_ms = 400\nrevocation_ms = 5000\n";
+}
+
+void Site::writeAgent(Host &host, unsigned)
+{
+    Daemon &agent = *host.agent;
+    const auto store = agent.storeLink->addRoute({"127.0.0.1", 0}, {"127.0.0.1", m_storeServer->port()}, standins::Heading::There);
+    agent.http = nextAddress();
+    host.executor->start(agent.http);
+    const auto executor = host.link->addRoute({"127.0.0.1", 0}, {"127.0.0.1", host.executor->port()}, standins::Heading::There);
+    std::string entries;
+    for (const auto &rpc : m_entryRpc) {
+        entries += (entries.empty() ? "\"" : ", \"") + rpc + "\"";
+    }
+    std::ofstream(agent.settings) << "role = \"agent\"\nid = \"" << agent.name << "\"\nregion = \"lima\"\ndata_centre = \"lima-a\"\nrpc = \""
+                                  << nextAddress().text() << "\"\nhttp = \"" << agent.http.text() << "\"\nexecutor = \"" << executor.text() << "\"\nstore = \""
+                                  << store.text() << "\"\nentries = [" << entries << "]\nlongest_hold_ms = 4000\nkill_grace_ms = 400\n";
+}
+
+void Site::launch(Daemon &daemon)
+{
+    scenario::Command command;
+    command.arguments = {m_options.program, "--settings=" + daemon.settings.string()};
+    command.logFile = (m_options.folder / (daemon.name + ".log")).string();
+    if (const auto started = daemon.process.start(command); !started.ok() && !daemon.process.isRunning()) {
+        throw std::runtime_error(daemon.name + " doesn't start: " + std::string(started.message()));
+    }
+}
+
+std::vector<Site::Daemon *> Site::daemons()
+{
+    std::vector<Daemon *> all;
+    for (const auto &entry : m_entries) {
+        all.push_back(entry.get());
+    }
+    for (const auto &host : m_hosts) {
+        all.push_back(host.agent.get());
+    }
+    return all;
+}
+
+std::vector<standins::Endpoint> Site::callerAddresses() const
+{
+    std::vector<standins::Endpoint> all;
+    for (const auto &entry : m_entries) {
+        all.push_back(entry->http);
+    }
+    return all;
+}
+
+asio::awaitable<void> Site::keepDown(Daemon &daemon, int signal, std::chrono::milliseconds length)
+{
+    ++daemon.keptDown;
+    // A process that another fault has ended already needs no signal.
+    if (daemon.process.signal(signal).ok()) {
+        const auto ended = co_await daemon.process.end(EndLimit);
+        if (!ended.ok()) {
+            throw std::runtime_error(daemon.name + " " + std::string(ended.status().message()));
+        }
+    }
+    co_await runtime::sleepFor(length);
+    if (--daemon.keptDown == 0) {
+        launch(daemon);
+    }
+}
+
+asio::awaitable<void> Site::pause(Daemon &daemon, std::chrono::milliseconds length)
+{
+    if (daemon.isPaused || !daemon.process.signal(SIGSTOP).ok()) {
+        co_return;
+    }
+    daemon.isPaused = true;
+    co_await runtime::sleepFor(length);
+    daemon.isPaused = false;
+    // It may have been killed while it was paused.
+    static_cast<void>(daemon.process.signal(SIGCONT));
+}
+
+asio::awaitable<void> Site::cut(standins::Link &link, std::chrono::milliseconds length)
+{
+    link.setCut(true);
+    co_await runtime::sleepFor(length);
+    link.setCut(false);
+}
+
+asio::awaitable<void> Site::killAll(std::chrono::milliseconds length)
+{
+    for (auto *daemon : daemons()) {
+        asio::co_spawn(m_context, keepDown(*daemon, SIGKILL, length), asio::detached);
+    }
+    co_await runtime::sleepFor(length);
+}
+
+asio::awaitable<void> Site::disturbStore(FaultKind kind, std::chrono::milliseconds length)
+{
+    if (kind == FaultKind::StoreForgets) {
+        m_store.forgetHistory();
+    } else if (kind == FaultKind::StoreLosesAnswers) {
+        m_store.loseAnswers(LostAnswers);
+    } else if (kind == FaultKind::PolicyChange) {
+        m_store.put(OperatorKey, Callers::policy(++m_policyVersion));
+    } else if (kind == FaultKind::StoreSlow) {
+        m_store.setDelay(SlowStore);
+        co_await runtime::sleepFor(length);
+        m_store.setDelay(std::chrono::milliseconds(0));
+    } else {
+        m_store.setMode(kind == FaultKind::StoreSilent ? StoreMode::Silent : StoreMode::TurningAway);
+        co_await runtime::sleepFor(length);
+        m_store.setMode(StoreMode::Serving);
+    }
+}
+
+asio::awaitable<void> Site::disturbHost(Host &host, FaultKind kind, std::chrono::milliseconds length)
+{
+    if (kind == FaultKind::CutExecutor) {
+        co_await cut(*host.link, length);
+    } else if (kind == FaultKind::ResetExecutorLink) {
+        host.link->reset();
+    } else if (kind == FaultKind::CrashExecutor) {
+        host.executor->crash();
+    } else if (kind == FaultKind::LateOrders) {
+        host.executor->answerLate(OrdersCarriedOutLate);
+    } else {
+        host.executor->setFailing(true);
+        co_await runtime::sleepFor(length);
+        host.executor->setFailing(false);
+    }
+}
+
+asio::awaitable<void> Site::apply(Fault fault)
+{
+    Daemon &entry = *m_entries[fault.target % m_entries.size()];
+    Host &host = m_hosts[fault.target % m_hosts.size()];
+    Daemon &any = *daemons()[fault.target % (m_entries.size() + m_hosts.size())];
+    switch (fault.kind) {
+    case FaultKind::KillEntry:
+        co_return co_await keepDown(entry, SIGKILL, fault.length);
+    case FaultKind::KillAgent:
+        co_return co_await keepDown(*host.agent, SIGKILL, fault.length);
+    case FaultKind::KillAll:
+        co_return co_await killAll(fault.length);
+    case FaultKind::PauseEntry:
+        co_return co_await pause(entry, fault.length);
+    case FaultKind::PauseAgent:
+        co_return co_await pause(*host.agent, fault.length);
+    case FaultKind::StopEntry:
+        co_return co_await keepDown(entry, SIGTERM, fault.length);
+    case FaultKind::CutFromStore:
+        co_return co_await cut(*any.storeLink, fault.length);
+    case FaultKind::SwallowStoreLink:
+        any.storeLink->swallow();
+        co_return;
+    case FaultKind::CutExecutor:
+    case FaultKind::ResetExecutorLink:
+    case FaultKind::CrashExecutor:
+    case FaultKind::LateOrders:
+    case FaultKind::FailingExecutor:
+        co_return co_await disturbHost(host, fault.kind, fault.length);
+    default:
+        co_return co_await disturbStore(fault.kind, fault.length);
+    }
+}
+
+asio::awaitable<void> Site::heal()
+{
+    m_store.loseAnswers(0);
+    for (auto *daemon : daemons()) {
+        while (daemon->keptDown > 0 || daemon->isPaused) {
+            co_await runtime::sleepFor(std::chrono::milliseconds(50));
+        }
+        if (!daemon->process.isRunning()) {
+            launch(*daemon);
+        }
+    }
+}
+
+} // namespace plantainfork::soak
--- /dev/null
+++ b/tests/platform/soak/site.h
@@ -0,0 +1,88 @@
+/** One site of the soak: the store, the executors and their links in this process, and the real daemons as processes of their own. */
+#pragma once
+
+#include <chrono>
+#include <filesystem>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+
+#include "platform/soak/executor.h"
+#include "platform/soak/faults.h"
+#include "platform/soak/store.h"
+#include "scenario/process.h"
+#include "standins/link.h"
+
+namespace plantainfork::soak
+{
+
+struct SiteOptions {
+    /** The daemon's program. */
+    std::filesystem::path program;
+    std::filesystem::path folder;
+    unsigned entries = 3;
+    unsigned hosts = 5;
+    std::uint16_t firstPort = 0;
+};
+
+class Site
+{
+public:
+    Site(asio::io_context &context, const SiteOptions &options, Ledger &ledger);
+
+    /** Starts everything and sets the first policy. */
+    void start();
+    /** Brings a fault about and, after its length, heals it. */
+    asio::awaitable<void> apply(Fault fault);
+    /** Ends all troubles and brings back all processes. */
+    asio::awaitable<void> heal();
+    /** Addresses that callers reach. */
+    [[nodiscard]] std::vector<standins::Endpoint> callerAddresses() const;
+
+private:
+    struct Daemon {
+        std::string name;
+        std::filesystem::path settings;
+        std::unique_ptr<standins::Link> storeLink;
+        scenario::Process process;
+        /** Callers' address of an entry. */
+        standins::Endpoint http;
+        /** It is meant to run; otherwise a fault keeps it down. */
+        bool isPaused = false;
+        unsigned keptDown = 0;
+    };
+    struct Host {
+        std::unique_ptr<Executor> executor;
+        std::unique_ptr<standins::Link> link;
+        std::unique_ptr<Daemon> agent;
+    };
+
+    std::unique_ptr<Daemon> makeDaemon(const std::string &name);
+    void writeEntry(Daemon &daemon);
+    void writeAgent(Host &host, unsigned rack);
+    void launch(Daemon &daemon);
+    asio::awaitable<void> keepDown(Daemon &daemon, int signal, std::chrono::milliseconds length);
+    asio::awaitable<void> pause(Daemon &daemon, std::chrono::milliseconds length);
+    asio::awaitable<void> disturbStore(FaultKind kind, std::chrono::milliseconds length);
+    asio::awaitable<void> disturbHost(Host &host, FaultKind kind, std::chrono::milliseconds length);
+    asio::awaitable<void> cut(standins::Link &link, std::chrono::milliseconds length);
+    asio::awaitable<void> killAll(std::chrono::milliseconds length);
+    standins::Endpoint nextAddress();
+    std::vector<Daemon *> daemons();
+
+    asio::io_context &m_context;
+    SiteOptions m_options;
+    Store m_store;
+    std::unique_ptr<http::Server> m_storeServer;
+    Floor m_floor;
+    std::vector<std::unique_ptr<Daemon>> m_entries;
+    std::vector<Host> m_hosts;
+    std::uint16_t m_nextPort;
+    std::vector<std::string> m_entryRpc;
+    std::uint64_t m_policyVersion = 1;
+};
+
+} // namespace plantainfork::soak
