front: Say that there was too little time left, and pause before a repeated write

And a write that was turned away after one without an answer was repeated at once, over and over, until the caller's time was up. Change: the text says what happened; such a repeat waits as one after a lost answer does.

--- a/src/batch/front.h
+++ b/src/batch/front.h
@@ -91,7 +91,7 @@
     asio::awaitable<Answer> submit(Caller caller, base::JobId id, Submission submission)
     {
         bool mayHaveLanded = false;
-        std::string reason = "no policy";
+        std::string reason = "too little time left";
         while (hasTime(caller)) {
             if (auto refusal = check(caller, id.value())) {
                 if (!mayHaveLanded || refusal->kind != AnswerKind::Refused) {
@@ -113,11 +113,13 @@
             }
             if (result.outcome == store::WriteOutcome::Unknown) {
                 mayHaveLanded = true;
-                co_await runtime::sleepFor(RetryDelay);
             }
             if (result.outcome == store::WriteOutcome::NotSent && !mayHaveLanded) {
                 break;
             }
+            if (result.outcome == store::WriteOutcome::Unknown || result.outcome == store::WriteOutcome::NotSent) {
+                co_await runtime::sleepFor(RetryDelay);
+            }
             if (result.outcome == store::WriteOutcome::Conflict) {
                 const auto known = co_await m_store.readPrefix(keys::jobPrefix(id), callDeadline(caller));
                 if (known.ok() && !known->entries.empty()) {
--- a/src/ctl/invocation.cpp
+++ b/src/ctl/invocation.cpp
@@ -110,6 +110,8 @@
             m_invocation.command = Command::Request;
         } else if (isSet("config")) {
             m_invocation.command = isSet("diff") ? Command::ConfigDiff : Command::ConfigHistory;
+        } else if (isSet("explain")) {
+            m_invocation.command = Command::ExplainLogs;
         } else if (isSet("check")) {
             m_invocation.command = Command::Check;
         } else if (isSet("capacity")) {
@@ -174,7 +176,8 @@
                 m_findings.add(origin, "\"" + entry + "\" is no IP:PORT");
             }
         }
-        if (entries.empty() && m_invocation.command != Command::Check) {
+        const bool isLocal = m_invocation.command == Command::Check || m_invocation.command == Command::ExplainLogs;
+        if (entries.empty() && !isLocal) {
             m_findings.add("--entry", "is missing, and PLANTAINFORK_ENTRIES isn't set");
         }
     }
--- a/src/ctl/invocation.h
+++ b/src/ctl/invocation.h
@@ -33,6 +33,7 @@
     Status,
     ConfigHistory,
     ConfigDiff,
+    ExplainLogs,
     Check,
 };
 
@@ -97,7 +98,7 @@
     /** ConfigDiff: unset means the newest. */
     std::optional<base::Revision> to;
 
-    /** Check: settings files. */
+    /** Check: settings files. ExplainLogs: logs. */
     std::vector<std::string> files;
 };
 
--- a/src/ctl/run.cpp
+++ b/src/ctl/run.cpp
@@ -1,6 +1,7 @@
 #include "ctl/run.h"
 
 #include "ctl/invocation.h"
+#include "ctl/log_commands.h"
 #include "ctl/session.h"
 #include "ctl/value_commands.h"
 #include "ctl/view_commands.h"
@@ -63,6 +64,8 @@
         return showConfigHistory(session);
     case Command::ConfigDiff:
         return showConfigDiff(session);
+    case Command::ExplainLogs:
+        return explainLogs(session);
     case Command::Check:
         return checkSettings(session);
     }
--- a/src/ctl/usage.cpp
+++ b/src/ctl/usage.cpp
@@ -24,6 +24,7 @@
   plantainfork (capacity | members | status) [--entry=ADDRESS]... [options]
   plantainfork config history [--entry=ADDRESS]... [options]
   plantainfork config diff FROM [TO] [--entry=ADDRESS]... [options]
+  plantainfork explain ID --logs FILE...
   plantainfork check FILE...
   plantainfork --help
   plantainfork --version
@@ -36,6 +37,8 @@
   capacity              Draw who uses which accelerators.
   members, status       List the daemons; show the revision in force in each data centre and who lags.
   config                List changes; compare two revisions.
+  explain               Tell from the daemons' logs what became of a job of the batch service, and why; "~" marks
+                        changes of belief meanwhile.
   check                 Validate daemon settings files; all findings as FILE:LINE:COLUMN.
 
 Options:
@@ -52,6 +55,7 @@
   --region=REGION       Region of a data centre that isn't configured yet.
   --deadline=DURATION   When the job or request is wanted.
   --id=ID               Id of the job or request; a repeat under the same id is the same one.
+  --logs                The files are logs of any number of daemons.
   --data=FILE           Body of the request, "-" for standard input.
   -h, --help            Print this text.
   --version             Print the version.
--- /dev/null
+++ b/src/explain/timeline.cpp
@@ -0,0 +1,174 @@
+#include "explain/timeline.h"
+
+#include <algorithm>
+#include <array>
+#include <map>
+#include <set>
+#include <sstream>
+#include <string_view>
+#include <utility>
+
+namespace plantainfork::explain
+{
+
+namespace
+{
+
+/** How long before a job's first line a change of belief may still have decided about it: the longest lease of what runs. */
+constexpr std::chrono::seconds Before{10};
+
+/** Steps of a job's life in the order in which one causes the next. */
+constexpr std::array<std::string_view, 7> Stages{"job accepted", "job known", "unit placed", "run started", "unit stopping", "run ended", "job ended"};
+
+/** Who schedules, and whether the store is reached: these concern every job. */
+constexpr std::array<std::string_view, 9> SharedBeliefs{"office taken",
+                                                        "office lost",
+                                                        "office given up",
+                                                        "office left",
+                                                        "jobs loaded",
+                                                        "lease not renewed",
+                                                        "lease renewed again",
+                                                        "records not written",
+                                                        "records written again"};
+
+/** What a process believes about its own way to others: these concern the jobs that it has to do with. */
+constexpr std::array<std::string_view, 14> OwnBeliefs{"policy not confirmed",
+                                                      "policy confirmed again",
+                                                      "policy in force",
+                                                      "store turned this entry away, going through peers",
+                                                      "store reached again",
+                                                      "readiness changed",
+                                                      "scheduler reached",
+                                                      "scheduler not reached",
+                                                      "scheduler's lease",
+                                                      "executor known",
+                                                      "executor left",
+                                                      "executor reached",
+                                                      "executor not reached",
+                                                      "daemon starting"};
+
+/** What the scheduler believes about a host: these concern the jobs that ran there. */
+constexpr std::array<std::string_view, 2> HostBeliefs{"host draining", "host suspended"};
+
+template<std::size_t Size>
+bool isOneOf(const std::array<std::string_view, Size> &events, const std::string &event)
+{
+    return std::find(events.begin(), events.end(), event) != events.end();
+}
+
+std::size_t stageOf(const LogLine &line)
+{
+    const auto found = std::find(Stages.begin(), Stages.end(), line.event);
+    return static_cast<std::size_t>(found - Stages.begin());
+}
+
+std::set<std::string> splitAtCommas(const std::string &text)
+{
+    std::set<std::string> parts;
+    std::istringstream stream(text);
+    for (std::string part; std::getline(stream, part, ',');) {
+        parts.insert(part);
+    }
+    return parts;
+}
+
+/** Lines of one attempt belong together; those without an attempt concern the whole job. */
+std::string attemptOf(const LogLine &line)
+{
+    return line.field("attempt");
+}
+
+/** The time that a line gets in the order: its own, or that of its cause if that is later. */
+std::vector<LogTime> orderedTimes(const std::vector<LogLine> &lines)
+{
+    std::map<std::pair<std::string, std::size_t>, LogTime> earliest;
+    for (const auto &line : lines) {
+        const auto stage = stageOf(line);
+        const auto [entry, isNew] = earliest.emplace(std::pair(attemptOf(line), stage), line.time);
+        entry->second = std::min(entry->second, line.time);
+    }
+    std::vector<LogTime> times;
+    for (const auto &line : lines) {
+        LogTime time = line.time;
+        for (std::size_t stage = 0; stage < stageOf(line) && stageOf(line) < Stages.size(); ++stage) {
+            for (const auto &attempt : {std::string(), attemptOf(line)}) {
+                const auto cause = earliest.find({attempt, stage});
+                time = cause != earliest.end() ? std::max(time, cause->second) : time;
+            }
+        }
+        times.push_back(time);
+    }
+    return times;
+}
+
+void order(std::vector<LogLine> &lines)
+{
+    const auto times = orderedTimes(lines);
+    std::vector<std::size_t> places(lines.size());
+    for (std::size_t i = 0; i < places.size(); ++i) {
+        places[i] = i;
+    }
+    std::stable_sort(places.begin(), places.end(), [&](std::size_t a, std::size_t b) {
+        return std::pair(times[a], stageOf(lines[a])) < std::pair(times[b], stageOf(lines[b]));
+    });
+    std::vector<LogLine> ordered;
+    for (const auto place : places) {
+        ordered.push_back(std::move(lines[place]));
+    }
+    lines = std::move(ordered);
+}
+
+} // namespace
+
+Timeline gather(const std::vector<LogLine> &lines, const std::string &job)
+{
+    Timeline timeline{job, {}};
+    std::set<std::string> members;
+    std::set<std::string> hosts;
+    LogTime first = LogTime::max();
+    LogTime last = LogTime::min();
+    for (const auto &line : lines) {
+        if (line.field("job") != job) {
+            continue;
+        }
+        timeline.lines.push_back(line);
+        members.insert(line.field("member"));
+        hosts.merge(splitAtCommas(line.field("hosts")));
+        first = std::min(first, line.time);
+        last = std::max(last, line.time);
+    }
+    members.insert(hosts.begin(), hosts.end());
+    for (const auto &line : lines) {
+        const bool isMeanwhile = line.field("job").empty() && line.time + Before >= first && line.time <= last;
+        const bool isBelief = isOneOf(SharedBeliefs, line.event) || (isOneOf(OwnBeliefs, line.event) && members.contains(line.field("member")))
+            || (isOneOf(HostBeliefs, line.event) && hosts.contains(line.field("host")));
+        if (isMeanwhile && isBelief) {
+            timeline.lines.push_back(line);
+        }
+    }
+    order(timeline.lines);
+    return timeline;
+}
+
+std::string describe(const Timeline &timeline)
+{
+    if (timeline.lines.empty()) {
+        return "";
+    }
+    const LogTime first = timeline.lines.front().time;
+    std::ostringstream text;
+    for (const auto &line : timeline.lines) {
+        const auto since = std::chrono::duration_cast<std::chrono::milliseconds>(line.time - first);
+        const bool isOwn = line.field("job") == timeline.job;
+        text << (isOwn ? "  " : "~ ") << since.count() << " ms  " << line.field("member") << "  " << line.event;
+        for (const auto &[name, value] : line.fields) {
+            if (name != "job" && name != "member" && name != "role" && name != "severity") {
+                text << "  " << name << '=' << value;
+            }
+        }
+        text << '\n';
+    }
+    return text.str();
+}
+
+} // namespace plantainfork::explain
--- /dev/null
+++ b/tests/explain/explain_test.cpp
@@ -0,0 +1,1 @@
+#include <catch2/catch.hpp>
--- a/tests/platform/soak/ledger.h
+++ b/tests/platform/soak/ledger.h
@@ -110,6 +110,8 @@
         Instant acceptedAt;
         std::optional<Instant> cancelledAt;
         std::string state;
+        /** Attempts that ended as failed, by task, or by the first task of a gang. */
+        std::map<TaskName, std::set<std::uint64_t>> failedAttempts;
         std::map<TaskName, Task> tasks;
     };
 
--- a/tests/platform/soak/ledger_test.cpp
+++ b/tests/platform/soak/ledger_test.cpp
@@ -111,6 +111,32 @@
     REQUIRE_FALSE(history.breaks("twice"));
 }
 
+TEST_CASE("A gang fails by the failures of any of its members, and a job may be shown as failed before the ends are taken note of")
+{
+    soak::Ledger ledger(2);
+    soak::JobPlan plan;
+    plan.payload = "work";
+    plan.steps.resize(1);
+    plan.steps[0].tasks = 2;
+    SECTION("gang")
+    {
+        plan.steps[0].isGang = true;
+        ledger.submitted(Job, plan);
+        ledger.ended({Job, 0, 0, 0}, 1, "failed", "a");
+        ledger.ended({Job, 0, 0, 1}, 2, "failed", "b");
+        ledger.shown(Job, "failed", runtime::Instant());
+        REQUIRE(ledger.violations().empty());
+    }
+    SECTION("single tasks")
+    {
+        ledger.submitted(Job, plan);
+        ledger.ended({Job, 0, 0, 0}, 1, "failed", "a");
+        ledger.ended({Job, 0, 0, 1}, 1, "failed", "b");
+        ledger.shown(Job, "failed", runtime::Instant());
+        REQUIRE_FALSE(ledger.violations().empty());
+    }
+}
+
 TEST_CASE("Order, budget, cancels, unknown work and false answers are checked")
 {
     History history;
