batch: Bar an order that may have reached an executor's next life, and acknowledge only ends that are listed

Cause: an executor that starts again under its id takes the calls meant for its earlier life. Until its next announcement the agent knows nothing of it. Change: after a restart under the same id, a run that no life has listed is stopped on the new one before its unit may start again; runs that the earlier life had listed are lost at once, all members of a gang together. Ends are acknowledged only while they are listed.

--- a/src/batch/agent.h
+++ b/src/batch/agent.h
@@ -490,7 +490,7 @@
         HoldRequest request;
         request.incarnation = incarnation;
         request.token = m_token;
-        request.acknowledged = m_ordersToken == m_token ? m_orders.acknowledged : 0;
+        request.acknowledged = m_ordersToken == m_token && m_listing ? acknowledgement(m_listing->ended, m_orders.acknowledged) : 0;
         request.wait = wait;
         const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(m_authorityUntil - runtime::Clock::now());
         if (m_clockAt != runtime::Instant() && left.count() > 0) {
--- a/src/batch/executor_port.h
+++ b/src/batch/executor_port.h
@@ -1,6 +1,7 @@
 /** What an agent asks of the executor beside it, in the project's own terms; platform/ speaks the executor's protocol. */
 #pragma once
 
+#include <algorithm>
 #include <chrono>
 #include <concepts>
 #include <string>
@@ -57,6 +58,18 @@
     std::uint64_t born = 0;
 };
 
+/**
+ * What to acknowledge of the ends that were processed: nothing while none of them is listed. A restarted executor counts its ends anew
+ * under the same id, and an earlier life's number would make it forget ends that nobody has heard of.
+ */
+[[nodiscard]] inline std::uint64_t acknowledgement(const std::vector<Ended> &listed, std::uint64_t processed)
+{
+    const bool isAnyListed = std::any_of(listed.begin(), listed.end(), [processed](const Ended &ended) {
+        return ended.number <= processed;
+    });
+    return isAnyListed ? processed : 0;
+}
+
 /** The executor beside an agent. Calls return by their deadline; Aborted: it obeys a higher token; NotFound: another incarnation. */
 template<typename T>
 concept ExecutorPort = requires(T port,
--- a/src/batch/workload.cpp
+++ b/src/batch/workload.cpp
@@ -68,6 +68,8 @@
         return "stalled";
     case StopReason::Superseded:
         return "superseded";
+    case StopReason::HostRestarted:
+        return "host_restarted";
     }
     return "none";
 }
@@ -360,7 +362,7 @@
         host.strays.clear();
         host.failuresInRow = 0;
         host.suspendedUntil = Instant();
-        loseMembers(host.id, &host.report.incarnation, now, wallNow, "executor restarted");
+        settleRestart(host, now, wallNow);
     }
 }
 
@@ -452,17 +454,44 @@
     }
 }
 
-void Workload::loseMembers(const HostId &host, const HostIncarnation *onlyOther, Instant now, WallTime wallNow, std::string_view why)
+void Workload::settleRestart(const Host &host, Instant now, WallTime wallNow)
 {
+    const HostIncarnation &present = host.report.incarnation;
     for (auto &[id, job] : m_jobs) {
         for (auto &unit : job.units) {
             for (std::size_t i = 0; i < unit.members.size(); ++i) {
-                const Member &member = unit.members[i];
-                const bool isMeant = member.host == host && member.phase != MemberPhase::Ended && (onlyOther == nullptr || member.incarnation != *onlyOther);
-                if (isMeant) {
-                    log("run lost", {{"job", id.value()}, {"task", job.taskOf(unit, i).text()}, {"host", host.value()}, {"why", std::string(why)}});
-                    endMember(job, unit, i, EndKind::Lost, "", now, wallNow);
-                    break;
+                Member &member = unit.members[i];
+                if (member.host != host.id || member.phase == MemberPhase::Ended || member.incarnation == present) {
+                    continue;
+                }
+                // Only the id tells an executor's calls apart from another's, so an order that no life has listed may reach this one.
+                const bool mayHaveReached =
+                    member.phase == MemberPhase::Ordered && member.incarnation.instance == present.instance && unit.phase == UnitPhase::Placed;
+                if (mayHaveReached) {
+                    member.incarnation = present;
+                    stop({&job, &unit}, StopReason::HostRestarted);
+                } else {
+                    loseMember(job, unit, i, now, wallNow, "executor restarted");
+                }
+            }
+        }
+    }
+}
+
+void Workload::loseMember(Job &job, Unit &unit, std::size_t member, Instant now, WallTime wallNow, std::string_view why)
+{
+    log("run lost",
+        {{"job", job.spec.id.value()}, {"task", job.taskOf(unit, member).text()}, {"host", unit.members[member].host.value()}, {"why", std::string(why)}});
+    endMember(job, unit, member, EndKind::Lost, "", now, wallNow);
+}
+
+void Workload::loseMembers(const HostId &host, Instant now, WallTime wallNow, std::string_view why)
+{
+    for (auto &[id, job] : m_jobs) {
+        for (auto &unit : job.units) {
+            for (std::size_t i = 0; i < unit.members.size(); ++i) {
+                if (unit.members[i].host == host && unit.members[i].phase != MemberPhase::Ended) {
+                    loseMember(job, unit, i, now, wallNow, why);
                 }
             }
         }
@@ -487,7 +516,7 @@
         }
     }
     for (const auto &host : silent) {
-        loseMembers(host, nullptr, now, wallNow, "host left, or silent for longer than its grant");
+        loseMembers(host, now, wallNow, "host left, or silent for longer than its grant");
         if (const auto found = m_hosts.find(host); found != m_hosts.end()) {
             found->second.isListed = false;
         }
--- a/src/batch/workload.h
+++ b/src/batch/workload.h
@@ -62,6 +62,8 @@
     Stalled,
     /** An earlier attempt turned out to be done. */
     Superseded,
+    /** Its executor started anew under the same id, and the order may have reached either life. */
+    HostRestarted,
 };
 
 [[nodiscard]] std::string_view stopReasonText(StopReason reason);
@@ -246,7 +248,10 @@
     void takeRunning(Host &host, const SyncCall &call, Instant now);
     void takeEnds(Host &host, const SyncCall &call, Instant now, WallTime wallNow);
     void takeBarred(Host &host, const SyncCall &call, Instant now, WallTime wallNow);
-    void loseMembers(const HostId &host, const HostIncarnation *onlyOther, Instant now, WallTime wallNow, std::string_view why);
+    /** Ends what ran in an earlier life of the host's executor, and bars there what may have been started in this one. */
+    void settleRestart(const Host &host, Instant now, WallTime wallNow);
+    void loseMember(Job &job, Unit &unit, std::size_t member, Instant now, WallTime wallNow, std::string_view why);
+    void loseMembers(const HostId &host, Instant now, WallTime wallNow, std::string_view why);
     void endMember(Job &job, Unit &unit, std::size_t member, EndKind kind, const std::string &checkpoint, Instant now, WallTime wallNow);
     void settleUnit(Job &job, Unit &unit, Instant now, WallTime wallNow);
     /** An end of an attempt that is no longer the one in force: its host was taken for lost. */
--- a/tests/batch/workload_test.cpp
+++ b/tests/batch/workload_test.cpp
@@ -51,6 +51,34 @@
     REQUIRE(unitOf(floor, "job", 1).phase == batch::UnitPhase::Waiting);
 }
 
+TEST_CASE("An order that may have reached an executor's next life under the same id is barred there before its task starts elsewhere")
+{
+    // Replays an executor that restarted between two announcements: the order was carried out by the new life, and doubled elsewhere.
+    Floor floor;
+    floor.addHost("a", "r1-1");
+    floor.addHost("b", "r1-1");
+    floor.addJob("job", "long", "rif", {Floor::step(1, 8, 5s)});
+    const auto host = floor.round().placements.at(0).hosts.at(0).value();
+    floor.call(host).report.incarnation.born = 2;
+    floor.say(host);
+    REQUIRE(floor.round().placements.empty());
+    const auto orders = floor.workload.ordersFor(floor.workload.hosts().at(batch::HostId(host)));
+    REQUIRE(orders.runs.empty());
+    REQUIRE(orders.stops == std::vector<batch::RunId>{Floor::run("job", 0, 0, 1)});
+    SECTION("it never came")
+    {
+        floor.call(host).barred = {Floor::run("job", 0, 0, 1)};
+        floor.say(host);
+        REQUIRE(floor.round().placements.size() == 1);
+    }
+    SECTION("it came and was done")
+    {
+        floor.end(host, Floor::run("job", 0, 0, 1), batch::EndKind::Done);
+        REQUIRE(floor.round().placements.empty());
+        REQUIRE(floor.workload.jobs().at(base::JobId("job")).status == batch::JobStatus::Complete);
+    }
+}
+
 TEST_CASE("A failed end that is heard after its attempt was given up still counts")
 {
     Floor floor;
--- a/tests/platform/soak/executor.cpp
+++ b/tests/platform/soak/executor.cpp
@@ -326,7 +326,7 @@
     }
 }
 
-void Executor::end(const TaskName &task, const std::string &how)
+void Executor::end(TaskName task, const std::string &how)
 {
     const auto found = m_runs.find(task);
     if (found == m_runs.end()) {
--- a/tests/platform/soak/executor.h
+++ b/tests/platform/soak/executor.h
@@ -124,7 +124,7 @@
     asio::awaitable<void> announce();
     asio::awaitable<void> work();
     void advance(std::chrono::milliseconds step);
-    void end(const TaskName &task, const std::string &how);
+    void end(TaskName task, const std::string &how);
     void lapse();
     void prolong(const Json &wanted);
     [[nodiscard]] bool obeys(const Json &wanted);
--- a/tests/platform/soak/ledger.cpp
+++ b/tests/platform/soak/ledger.cpp
@@ -207,10 +207,8 @@
     for (auto &[id, job] : m_jobs) {
         for (auto &[name, task] : job.tasks) {
             task.running.erase(executor);
-            // An end that nobody took note of is gone: the task may have to run again, whatever it did.
-            if (task.startsSinceDone.erase(executor) > 0 && !task.isDoneNoted) {
-                task.isDone = !task.startsSinceDone.empty();
-            }
+            // An end that nobody took note of is gone, and the task may run again; it may also have been heard of, and is done then.
+            task.startsSinceDone.erase(executor);
         }
     }
 }
--- a/tests/platform/soak/soak_main.cpp
+++ b/tests/platform/soak/soak_main.cpp
@@ -105,7 +105,8 @@
         return std::stoull(given[name]);
     };
     SiteOptions options;
-    const std::filesystem::path bin = given["--bin"].empty() ? std::filesystem::canonical("/proc/self/exe").parent_path() : std::filesystem::path(given["--bin"]);
+    const std::filesystem::path bin =
+        given["--bin"].empty() ? std::filesystem::canonical("/proc/self/exe").parent_path() : std::filesystem::path(given["--bin"]);
     options.program = bin / "plantainfork-batchd";
     options.entries = static_cast<unsigned>(number("--entries"));
     options.hosts = static_cast<unsigned>(number("--hosts"));
