--- a/src/log/log.cpp
+++ b/src/log/log.cpp
@@ -1,9 +1,17 @@
-/** Writes log lines through Boost.Log: a text sink on standard error, filtered by severity before a record is made. */
+/**
+ * Writes log lines through Boost.Log: a text sink on standard output, filtered by severity before a record is made. Never waits: lines
+ * beyond a kind's budget, or while nobody reads the output, are left out and counted.
+ */
 #include "log/log.h"
 
+#include <cstdint>
 #include <iostream>
+#include <mutex>
 #include <utility>
 
+#include <poll.h>
+#include <unistd.h>
+
 #include <boost/core/null_deleter.hpp>
 #include <boost/date_time/posix_time/posix_time.hpp>
 #include <boost/log/attributes/clock.hpp>
@@ -16,7 +24,9 @@
 #include <boost/smart_ptr/make_shared.hpp>
 #include <boost/smart_ptr/shared_ptr.hpp>
 
+#include "log/budget.h"
 #include "log/line.h"
+#include "runtime/clock.h"
 
 namespace plantainfork::log
 {
@@ -38,6 +48,13 @@
     stream << record[boost::log::expressions::smessage];
 }
 
+/** Whether a line can be written to standard output without waiting for its reader. Files always can. */
+bool canWrite()
+{
+    pollfd output{STDOUT_FILENO, POLLOUT, 0};
+    return ::poll(&output, 1, 0) != 0;
+}
+
 /** The sink and the fields common to all lines. Built on first use, so that lines written before configure() appear too. */
 class Writer
 {
@@ -57,14 +74,42 @@
     void write(Severity severity, std::string_view event, const std::vector<Field> &fields)
     {
         if (auto record = m_logger.open_record(boost::log::keywords::severity = severity)) {
-            boost::log::record_ostream stream(record);
-            stream << formatLine(severity, event, m_common, fields);
-            stream.flush();
-            m_logger.push_record(std::move(record));
+            const std::scoped_lock lock(m_writing);
+            const auto now = runtime::Clock::now();
+            if (!m_budget.take(event, now)) {
+                return;
+            }
+            if (!canWrite()) {
+                ++m_unread;
+                return;
+            }
+            tellLeftOut(now);
+            push(std::move(record), formatLine(severity, event, m_common, fields));
         }
     }
 
 private:
+    void push(boost::log::record record, const std::string &line)
+    {
+        boost::log::record_ostream stream(record);
+        stream << line;
+        stream.flush();
+        m_logger.push_record(std::move(record));
+    }
+
+    void tellLeftOut(runtime::Instant now)
+    {
+        auto leftOut = m_budget.takeLeftOut(now);
+        if (const auto unread = std::exchange(m_unread, 0); unread > 0) {
+            leftOut.push_back({"any, as the output was full", unread});
+        }
+        for (const auto &[kind, count] : leftOut) {
+            if (auto record = m_logger.open_record(boost::log::keywords::severity = Severity::Warning)) {
+                push(std::move(record), formatLine(Severity::Warning, "lines left out", m_common, {{"kind", kind}, {"count", std::to_string(count)}}));
+            }
+        }
+    }
+
     Writer()
         : m_sink(boost::make_shared<Sink>())
     {
@@ -79,6 +124,10 @@
 
     boost::shared_ptr<Sink> m_sink;
     Logger m_logger;
+    std::mutex m_writing;
+    Budget m_budget;
+    /** Lines that could not be written without waiting. */
+    std::uint64_t m_unread = 0;
     /** Set once by configure(), before other threads write. */
     std::vector<Field> m_common;
 };
