batch: Serve latencies by workspace and class

plantainfork_batch_answer_seconds (call, outcome, workspace) at each entry; plantainfork_batch_wait_seconds (to a job's first placement) and plantainfork_batch_job_seconds (to its end, by status), both by workspace and priority, at the scheduler in office. Priorities rather than queues, which come and go. Test: a job's wait and end are told once.

--- a/src/batch/front.cpp
+++ b/src/batch/front.cpp
@@ -56,4 +56,31 @@
     return best;
 }
 
+std::string_view answerText(AnswerKind kind)
+{
+    switch (kind) {
+    case AnswerKind::Accepted:
+        return "accepted";
+    case AnswerKind::State:
+        return "state";
+    case AnswerKind::Count:
+        return "count";
+    case AnswerKind::Cancelled:
+        return "cancelled";
+    case AnswerKind::NoSuchJob:
+        return "no_such_job";
+    case AnswerKind::NoSuchQueue:
+        return "no_such_queue";
+    case AnswerKind::UnknownKey:
+        return "unknown_key";
+    case AnswerKind::Invalid:
+        return "invalid";
+    case AnswerKind::Refused:
+        return "refused";
+    case AnswerKind::Unclear:
+        return "unclear";
+    }
+    return "unknown";
+}
+
 } // namespace plantainfork::batch
--- a/src/batch/front.h
+++ b/src/batch/front.h
@@ -59,6 +59,8 @@
     std::string reason;
 };
 
+[[nodiscard]] std::string_view answerText(AnswerKind kind);
+
 /** A job as the caller describes it; the rest of the JobSpec comes from the queue. */
 struct Submission {
     std::string payload;
@@ -210,6 +212,18 @@
         co_return Answer{AnswerKind::Refused, {}, 0, RetryAfter, "no scheduler in office is reachable"};
     }
 
+    /** Counts an answer to a caller with that key, from the arrival of its request. */
+    void recordAnswer(std::string_view call, const std::string &key, const Answer &answer, runtime::Instant begin)
+    {
+        const auto policy = m_policy.policy();
+        const auto workspace = policy != nullptr ? policy->keys.find(key) : std::map<std::string, base::WorkspaceId>::const_iterator();
+        const bool isKnown = policy != nullptr && workspace != policy->keys.end();
+        const metrics::Labels labels{{"call", std::string(call)},
+                                     {"outcome", std::string(answerText(answer.kind))},
+                                     {"workspace", isKnown ? workspace->second.value() : ""}};
+        m_metrics.histogram("plantainfork_batch_answer_seconds", labels).record(runtime::Clock::now() - begin);
+    }
+
     /** Whether callers are served here: the policy is known and confirmed lately. */
     [[nodiscard]] bool isReady() const
     {
--- a/src/batch/scheduler.h
+++ b/src/batch/scheduler.h
@@ -43,6 +43,7 @@
         , m_settings(settings)
         , m_store(store)
         , m_policy(policy)
+        , m_metrics(metrics)
         , m_grant(settings.longestHold - GrantMargin)
         , m_planner(PlannerBounds{settings.remoteFactor, settings.killGrace})
         , m_feed(store)
@@ -349,6 +350,7 @@
             }
             log::write(log::Severity::Info, event.name, fields);
         }
+        recordTimings(term.workload.takeTimings());
         auto next = collectOrders(term);
         m_rounds.record(runtime::Clock::now() - begin);
         const bool isRecorded = co_await m_records.write(term);
@@ -357,6 +359,18 @@
         }
     }
 
+    void recordTimings(const std::vector<JobTiming> &timings)
+    {
+        for (const auto &timing : timings) {
+            metrics::Labels labels{{"workspace", timing.workspace.value()}, {"priority", std::to_string(timing.priority)}};
+            const bool isStart = timing.status == JobStatus::Active;
+            if (!isStart) {
+                labels.push_back({"status", std::string(statusText(timing.status))});
+            }
+            m_metrics.histogram(isStart ? "plantainfork_batch_wait_seconds" : "plantainfork_batch_job_seconds", labels).record(timing.age);
+        }
+    }
+
     std::map<HostId, Orders> collectOrders(Term &term)
     {
         std::map<HostId, Orders> all;
@@ -385,6 +399,7 @@
     const Settings &m_settings;
     Store &m_store;
     PolicyHolder &m_policy;
+    metrics::Registry &m_metrics;
     /** The longest that an agent may let its host run without hearing from the scheduler. */
     const std::chrono::milliseconds m_grant;
     Planner m_planner;
--- a/src/batch/workload.cpp
+++ b/src/batch/workload.cpp
@@ -49,6 +49,23 @@
 
 } // namespace
 
+std::string_view statusText(JobStatus status)
+{
+    switch (status) {
+    case JobStatus::Queued:
+        return "queued";
+    case JobStatus::Active:
+        return "active";
+    case JobStatus::Complete:
+        return "complete";
+    case JobStatus::Failed:
+        return "failed";
+    case JobStatus::Cancelled:
+        return "cancelled";
+    }
+    return "unknown";
+}
+
 std::string_view stopReasonText(StopReason reason)
 {
     switch (reason) {
@@ -134,6 +151,11 @@
     m_events.push_back({std::move(name), std::move(fields)});
 }
 
+std::vector<JobTiming> Workload::takeTimings()
+{
+    return std::exchange(m_timings, {});
+}
+
 std::vector<Event> Workload::takeEvents()
 {
     return std::exchange(m_events, {});
@@ -196,7 +218,7 @@
             unit->stopping = job.status == JobStatus::Failed ? StopReason::JobFailed : StopReason::Cancelled;
         }
     }
-    log("job restored", {{"job", job.spec.id.value()}, {"status", std::to_string(static_cast<int>(job.status))}});
+    log("job restored", {{"job", job.spec.id.value()}, {"status", std::string(statusText(job.status))}});
 }
 
 void Workload::cancelJob(const base::JobId &id, WallTime wallNow)
@@ -220,12 +242,8 @@
     job.endedMs = wallNow.time_since_epoch().count();
     job.isDirty = true;
     log("job ended",
-        {{"job", job.spec.id.value()},
-         {"status",
-          status == JobStatus::Complete     ? "complete"
-              : status == JobStatus::Failed ? "failed"
-                                            : "cancelled"},
-         {"age_ms", std::to_string(job.endedMs - job.spec.acceptedMs)}});
+        {{"job", job.spec.id.value()}, {"status", std::string(statusText(status))}, {"age_ms", std::to_string(job.endedMs - job.spec.acceptedMs)}});
+    m_timings.push_back({job.spec.workspace, priorityOf(job), status, std::chrono::milliseconds(job.endedMs - job.spec.acceptedMs)});
     for (auto &unit : job.units) {
         if (unit.phase == UnitPhase::Placed) {
             stop({&job, &unit}, status == JobStatus::Failed ? StopReason::JobFailed : StopReason::Cancelled);
@@ -260,11 +278,12 @@
         unit.members.push_back(std::move(member));
         names += (names.empty() ? "" : ",") + id.value();
     }
+    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - ref.job->acceptedAt);
     if (ref.job->status == JobStatus::Queued) {
         ref.job->status = JobStatus::Active;
+        m_timings.push_back({ref.job->spec.workspace, priorityOf(*ref.job), JobStatus::Active, age});
     }
     ref.job->isDirty = true;
-    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - ref.job->acceptedAt);
     log("unit placed",
         {{"job", ref.job->spec.id.value()},
          {"unit", ref.job->taskOf(unit, 0).text()},
--- a/src/batch/workload.h
+++ b/src/batch/workload.h
@@ -66,6 +66,7 @@
     HostRestarted,
 };
 
+[[nodiscard]] std::string_view statusText(JobStatus status);
 [[nodiscard]] std::string_view stopReasonText(StopReason reason);
 
 struct Unit {
@@ -170,6 +171,15 @@
     std::vector<std::pair<std::string, std::string>> fields;
 };
 
+/** How long a job waited for its first placement, or took to its end, counted from its acceptance. */
+struct JobTiming {
+    base::WorkspaceId workspace;
+    std::uint32_t priority = 0;
+    /** Active: it was placed for the first time; otherwise how it ended. */
+    JobStatus status = JobStatus::Active;
+    std::chrono::milliseconds age{0};
+};
+
 struct WorkloadBounds {
     /** The longest that an agent which isn't heard lets its host run on. From the platform's bound on a lease. */
     std::chrono::milliseconds longestGrant{9000};
@@ -238,6 +248,7 @@
         return queueOf(job).priority;
     }
     [[nodiscard]] std::vector<Event> takeEvents();
+    [[nodiscard]] std::vector<JobTiming> takeTimings();
     void log(std::string name, std::vector<std::pair<std::string, std::string>> fields);
 
     /** Silence after which a host gets no new work; two held calls and their travel. */
@@ -270,6 +281,7 @@
     std::map<base::JobId, Job> m_jobs;
     std::map<HostId, Host> m_hosts;
     std::vector<Event> m_events;
+    std::vector<JobTiming> m_timings;
 };
 
 } // namespace plantainfork::batch
--- a/tests/batch/workload_test.cpp
+++ b/tests/batch/workload_test.cpp
@@ -175,6 +175,25 @@
     REQUIRE(plan.placements[0].unit.unit->attempt == batch::Attempt(2));
 }
 
+TEST_CASE("A job's wait and its end are told once, for the metrics")
+{
+    Floor floor;
+    floor.addHost("a", "r1-1");
+    floor.addJob("job", "long", "rif", {Floor::step(2, 1, 5s)});
+    floor.pass(300ms);
+    floor.round();
+    auto timings = floor.workload.takeTimings();
+    REQUIRE(timings.size() == 1);
+    REQUIRE(timings[0].workspace.value() == "rif");
+    REQUIRE(timings[0].priority == 1);
+    REQUIRE(timings[0].age == 300ms);
+    floor.end("a", Floor::run("job", 0, 0, 1), batch::EndKind::Done);
+    floor.end("a", Floor::run("job", 0, 1, 1), batch::EndKind::Done);
+    timings = floor.workload.takeTimings();
+    REQUIRE(timings.size() == 1);
+    REQUIRE(timings[0].status == batch::JobStatus::Complete);
+}
+
 TEST_CASE("A cancelled job stops what runs and starts nothing more")
 {
     Floor floor;
