--- a/src/batch/agent.h
+++ b/src/batch/agent.h
@@ -85,6 +85,7 @@
             m_listToken = {};
             m_clockAt = {};
             m_starting.clear();
+            m_unlisted.clear();
             m_barred.clear();
             m_stopping.clear();
             m_orders = {};
@@ -194,6 +195,7 @@
         }
         call.barred.assign(m_barred.begin(), m_barred.end());
         call.starting.assign(m_starting.begin(), m_starting.end());
+        call.starting.insert(call.starting.end(), m_unlisted.begin(), m_unlisted.end());
         call.wait = wait;
         return call;
     }
@@ -369,7 +371,7 @@
 
     void considerStart(const RunId &run)
     {
-        if (!isListed(run) && !m_barred.contains(run) && m_starting.insert(run).second) {
+        if (!isListed(run) && !m_unlisted.contains(run) && !m_barred.contains(run) && m_starting.insert(run).second) {
             asio::co_spawn(m_executor, startRun(this->shared_from_this(), run, m_report->incarnation), asio::detached);
         }
     }
@@ -409,8 +411,8 @@
                 m_starts.add();
                 m_startSeconds.record(runtime::Clock::now() - begin);
                 note("run started", run, result.reason);
-                if (m_listing && isSame(incarnation) && !isListed(run)) {
-                    m_listing->running.push_back({run, order.checkpoint, 0});
+                if (isSame(incarnation)) {
+                    m_unlisted.insert(run);
                 }
                 break;
             }
@@ -529,6 +531,7 @@
         m_listingSequence = sequence;
         const bool isNews = !m_listing || m_listToken != token || differs(*m_listing, listing);
         m_listing = listing;
+        m_unlisted.clear();
         m_listToken = token;
         if (isNews) {
             noteChange();
@@ -625,6 +628,8 @@
     runtime::Instant m_clockAt{};
 
     std::set<RunId> m_starting;
+    /** Started, and not listed yet: which life of the executor has them only its own listing tells. */
+    std::set<RunId> m_unlisted;
     std::set<RunId> m_stopping;
     std::set<RunId> m_barred;
 
--- a/src/batch/scheduler.h
+++ b/src/batch/scheduler.h
@@ -152,7 +152,7 @@
         return call.ordersToken != term.token || (orders != term.orders.end() && orders->second.version > call.ordersVersion);
     }
 
-    SyncReply reply(const Term &term, const SyncCall &call) const
+    [[nodiscard]] SyncReply reply(const Term &term, const SyncCall &call) const
     {
         SyncReply reply;
         reply.isLeader = true;
--- a/tests/explain/explain_test.cpp
+++ b/tests/explain/explain_test.cpp
@@ -82,12 +82,13 @@
 
 TEST_CASE("Lines that are cut or no lines of a log are counted and named, and the others are used")
 {
-    std::istringstream input("time=2026-01-31T12:00:00.000001Z severity=info event=\"job accepted\" job=a why=\"say \\\"yes\\\"\"\n"
-                             "\n"
-                             "time=2026-01-31T12:00:00.000002Z severity=info event=\"job acc\n"
-                             "Segmentation fault\n"
-                             "time=2026-13-31T12:00:00Z severity=info event=x\n"
-                             "time=2026-01-31T12:00:00.000003Z severity=info\n");
+    std::istringstream input(
+        "time=2026-01-31T12:00:00.000001Z severity=info event=\"job accepted\" job=a why=\"say \\\"yes\\\"\"\n"
+        "\n"
+        "time=2026-01-31T12:00:00.000002Z severity=info event=\"job acc\n"
+        "Segmentation fault\n"
+        "time=2026-13-31T12:00:00Z severity=info event=x\n"
+        "time=2026-01-31T12:00:00.000003Z severity=info\n");
     explain::ReadLog log;
     explain::readLog(input, "one", log);
     REQUIRE(log.lines.size() == 1);
