agent: Forget an executor's earlier life as soon as a listing shows another

Change: nothing known of the earlier life steers the executor once a listing shows another birth: no start, no acknowledgement.

--- a/src/batch/agent.h
+++ b/src/batch/agent.h
@@ -508,7 +508,11 @@
             m_isExecutorReached = false;
             co_return false;
         }
-        if (!isSame(incarnation) || (listing->born != 0 && listing->born != incarnation.born)) {
+        if (!isSame(incarnation)) {
+            co_return false;
+        }
+        if (listing->born != 0 && listing->born != incarnation.born) {
+            noteOtherLife(*listing);
             co_return false;
         }
         if (!m_isExecutorReached) {
@@ -519,6 +523,18 @@
         co_return true;
     }
 
+    /** The executor has started anew, which it hasn't announced yet: nothing known of its earlier life may steer this one. */
+    void noteOtherLife(const Listing &listing)
+    {
+        if (m_listing) {
+            log::write(log::Severity::Info,
+                       "executor restarted unannounced",
+                       {{"instance", m_report->incarnation.instance}, {"born", std::to_string(listing.born)}});
+        }
+        m_listing.reset();
+        m_listToken = {};
+    }
+
     /** Answers may overtake each other; the one whose call was sent last counts. */
     void takeListing(const Listing &listing, base::FencingToken token, std::uint64_t sequence)
     {
