--- a/tests/platform/soak/site.cpp
+++ b/tests/platform/soak/site.cpp
@@ -82,7 +82,7 @@
         host.executor = std::make_unique<Executor>(m_context.get_executor(), m_floor, "i-" + std::to_string(i), rack, ExecutorBounds());
         host.link = std::make_unique<standins::Link>(m_context, std::chrono::milliseconds(0), 0);
         host.agent = makeDaemon("agent-" + std::to_string(i));
-        writeAgent(host, i);
+        writeAgent(host);
         m_hosts.push_back(std::move(host));
     }
     for (auto *daemon : daemons()) {
@@ -101,7 +101,7 @@
                                    << "\"\nentries = []\nlongest_hold_ms = 4000\nkill_grace_ms = 400\nrevocation_ms = 5000\n";
 }
 
-void Site::writeAgent(Host &host, unsigned)
+void Site::writeAgent(Host &host)
 {
     Daemon &agent = *host.agent;
     const auto store = agent.storeLink->addRoute({"127.0.0.1", 0}, {"127.0.0.1", m_storeServer->port()}, standins::Heading::There);
--- a/tests/platform/soak/site.h
+++ b/tests/platform/soak/site.h
@@ -50,8 +50,8 @@
         scenario::Process process;
         /** Callers' address of an entry. */
         standins::Endpoint http;
-        /** It is meant to run; otherwise a fault keeps it down. */
         bool isPaused = false;
+        /** Faults that keep it down now; it is started again when the last of them is over. */
         unsigned keptDown = 0;
     };
     struct Host {
@@ -62,7 +62,7 @@
 
     std::unique_ptr<Daemon> makeDaemon(const std::string &name);
     void writeEntry(Daemon &daemon);
-    void writeAgent(Host &host, unsigned rack);
+    void writeAgent(Host &host);
     void launch(Daemon &daemon);
     asio::awaitable<void> keepDown(Daemon &daemon, int signal, std::chrono::milliseconds length);
     asio::awaitable<void> pause(Daemon &daemon, std::chrono::milliseconds length);
--- a/tests/platform/soak/store.h
+++ b/tests/platform/soak/store.h
@@ -69,8 +69,8 @@
     };
 
     http::Response serve(const http::Request &request);
-    http::Response readKey(const http::Request &request) const;
-    http::Response readRange(const http::Request &request) const;
+    [[nodiscard]] http::Response readKey(const http::Request &request) const;
+    [[nodiscard]] http::Response readRange(const http::Request &request) const;
     asio::awaitable<http::Response> watch(http::Request request);
     http::Response transact(const std::string &body);
     http::Response createLease(const std::string &body);
