--- a/src/batch/agent.h
+++ b/src/batch/agent.h
@@ -189,6 +189,7 @@
         }
         call.ordersToken = m_ordersToken;
         call.ordersVersion = m_orders.version;
+        call.entriesVersion = m_entriesVersion;
         if (m_listing) {
             call.listToken = m_listToken;
             call.running = m_listing->running;
@@ -266,6 +267,7 @@
     {
         if (!reply.entries.empty()) {
             m_entries = reply.entries;
+            m_entriesVersion = reply.entriesVersion;
         }
         const bool isFromLeader = from == m_leader || m_leader.port == 0;
         if (!reply.isLeader) {
@@ -615,6 +617,8 @@
     rpc::ChannelPool &m_channels;
     FindLeader m_findLeader;
     std::vector<wire::Address> m_entries;
+    /** Version of m_entries, as the entry that sent the list gave it; 0 for the list from the settings. */
+    std::uint64_t m_entriesVersion = 0;
     std::size_t m_nextEntry = 0;
     wire::Address m_leader;
     /** Leader according to another entry. */
--- a/src/batch/fit_search.cpp
+++ b/src/batch/fit_search.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 #include <limits>
-#include <map>
+#include <tuple>
 #include <utility>
 
 namespace plantainfork::batch
@@ -28,7 +28,7 @@
 {
     const Step &step = candidate.ref.step();
     double cost = 0;
-    if (!step.dataRack.empty() && state.rack != step.dataRack) {
+    if (!step.dataRack.empty() && state.host->rack != step.dataRack) {
         cost += toSeconds(candidate.runTime) * (m_bounds.remoteFactor - 1.0);
     }
     if (candidate.ref.unit->failedHosts.contains(state.host->id)) {
@@ -41,32 +41,39 @@
     return cost;
 }
 
-bool FitSearch::selectVictims(const HostState &state, const Resources &need, Resources &free, Fit &fit, const Candidate &candidate) const
+bool FitSearch::selectVictims(const HostState &state, const Candidate &candidate, const Fit &fit, Resources &free, HostTrial &trial) const
 {
-    std::vector<std::pair<double, std::size_t>> order;
+    const Resources need = candidate.ref.step().countedNeed();
+    struct Victim {
+        double cost = 0;
+        std::size_t placedIndex = 0;
+        unsigned members = 0;
+
+        bool operator<(const Victim &other) const
+        {
+            return std::tie(cost, placedIndex) < std::tie(other.cost, other.placedIndex);
+        }
+    };
+    std::vector<Victim> order;
     for (const auto &[placedIndex, members] : state.placedUnits) {
         const PlacedUnit &placedUnit = m_occupancy.placedUnits()[placedIndex];
         const bool isPreemptible = !placedUnit.isReleasing && placedUnit.preemptionRank > candidate.preemptionRank();
         if (isPreemptible && !fit.victims.contains(placedIndex) && !m_occupancy.isStopped(placedIndex)) {
-            const Resources gain = m_occupancy.placedUnits()[placedIndex].ref.step().countedNeed();
-            const double size = std::max(1.0, static_cast<double>(gain.accelerators * members));
-            order.emplace_back(m_occupancy.placedUnits()[placedIndex].lostWork / size, placedIndex);
+            const double size = std::max(1.0, static_cast<double>(placedUnit.need.accelerators * members));
+            order.push_back({placedUnit.lostWork / size, placedIndex, members});
         }
     }
     std::sort(order.begin(), order.end());
-    for (const auto &[cost, placedIndex] : order) {
+    for (const auto &victim : order) {
         if (free.covers(need)) {
             return true;
         }
-        for (const auto &[other, members] : state.placedUnits) {
-            if (other == placedIndex) {
-                for (unsigned i = 0; i < members; ++i) {
-                    free += m_occupancy.placedUnits()[placedIndex].ref.step().countedNeed();
-                }
-            }
+        const PlacedUnit &placedUnit = m_occupancy.placedUnits()[victim.placedIndex];
+        for (unsigned i = 0; i < victim.members; ++i) {
+            free += placedUnit.need;
         }
-        fit.victims.insert(placedIndex);
-        fit.cost += m_occupancy.placedUnits()[placedIndex].lostWork;
+        trial.victims.push_back(victim.placedIndex);
+        trial.cost += placedUnit.lostWork;
     }
     return free.covers(need);
 }
@@ -74,79 +81,89 @@
 Resources FitSearch::freeResources(const HostState &state, CapacitySource source, const Fit &fit) const
 {
     Resources free = state.free;
+    if (source == CapacitySource::Free) {
+        return free;
+    }
     for (const auto &[placedIndex, members] : state.placedUnits) {
-        const bool isGone = source != CapacitySource::Free
-            && (m_occupancy.placedUnits()[placedIndex].isReleasing || fit.victims.contains(placedIndex) || m_occupancy.isStopped(placedIndex));
+        const PlacedUnit &placedUnit = m_occupancy.placedUnits()[placedIndex];
+        const bool isGone = placedUnit.isReleasing || fit.victims.contains(placedIndex) || m_occupancy.isStopped(placedIndex);
         for (unsigned i = 0; isGone && i < members; ++i) {
-            free += m_occupancy.placedUnits()[placedIndex].ref.step().countedNeed();
+            free += placedUnit.need;
         }
     }
     return free;
 }
 
+FitSearch::HostTrial FitSearch::tryHost(const HostState &state, const Candidate &candidate, CapacitySource source, const Fit &fit, const Resources &taken) const
+{
+    const Resources need = candidate.ref.step().countedNeed();
+    HostTrial trial;
+    Resources free = freeResources(state, source, fit);
+    free -= taken;
+    free = Occupancy::availableUntil(state, free, m_occupancy.now() + candidate.runTime);
+    trial.isPossible = free.covers(need) || (source == CapacitySource::Preemptible && selectVictims(state, candidate, fit, free, trial));
+    if (trial.isPossible) {
+        free -= need;
+        trial.cost += hostCost(state, candidate, free);
+    }
+    return trial;
+}
+
 std::optional<Fit> FitSearch::tryFit(const Candidate &candidate, const std::vector<std::size_t> &hosts, CapacitySource source) const
 {
     const Step &step = candidate.ref.step();
-    const Resources need = step.countedNeed();
     const std::size_t members = step.isGang ? step.tasks : 1;
-    const Instant endsAt = m_occupancy.now() + candidate.runTime;
     Fit fit;
-    std::map<std::size_t, Resources> taken;
-    std::map<std::size_t, unsigned> count;
-    for (std::size_t member = 0; member < members; ++member) {
-        std::optional<std::size_t> best;
-        double bestCost = std::numeric_limits<double>::max();
-        Fit bestFit;
-        for (const auto index : hosts) {
-            const HostState &state = m_occupancy.hosts()[index];
-            if (count[index] >= Occupancy::remainingPerHost(state, candidate)) {
-                continue;
-            }
-            Fit trial = fit;
-            Resources free = freeResources(state, source, trial);
-            free -= taken[index];
-            free = Occupancy::availableUntil(state, free, endsAt);
-            if (!free.covers(need) && (source != CapacitySource::Preemptible || !selectVictims(state, need, free, trial, candidate))) {
-                continue;
-            }
-            free -= need;
-            const double cost = trial.cost - fit.cost + hostCost(state, candidate, free);
-            if (cost < bestCost) {
-                bestCost = cost;
-                best = index;
-                bestFit = std::move(trial);
+    std::vector<Resources> taken(hosts.size());
+    std::vector<unsigned> left(hosts.size());
+    std::vector<HostTrial> trials(hosts.size());
+    const auto tryAgain = [&](std::size_t i) {
+        const HostState &state = m_occupancy.hosts()[hosts[i]];
+        trials[i] = left[i] > 0 ? tryHost(state, candidate, source, fit, taken[i]) : HostTrial();
+    };
+    for (std::size_t i = 0; i < hosts.size(); ++i) {
+        left[i] = Occupancy::remainingPerHost(m_occupancy.hosts()[hosts[i]], candidate);
+        tryAgain(i);
+    }
+    while (fit.hosts.size() < members) {
+        std::size_t best = hosts.size();
+        for (std::size_t i = 0; i < hosts.size(); ++i) {
+            if (trials[i].isPossible && (best == hosts.size() || trials[i].cost < trials[best].cost)) {
+                best = i;
             }
         }
-        if (!best) {
+        if (best == hosts.size()) {
             return std::nullopt;
         }
-        const double previousCost = fit.cost;
-        fit = std::move(bestFit);
-        fit.cost = previousCost + bestCost;
-        fit.hosts.push_back(*best);
-        taken[*best] += need;
-        ++count[*best];
+        fit.cost += trials[best].cost;
+        fit.hosts.push_back(hosts[best]);
+        const std::vector<std::size_t> victims = std::move(trials[best].victims);
+        fit.victims.insert(victims.begin(), victims.end());
+        taken[best] += step.countedNeed();
+        --left[best];
+        // A victim may be a gang, which then is gone on other hosts, too.
+        for (std::size_t i = 0; i < hosts.size(); ++i) {
+            if (i == best || !victims.empty()) {
+                tryAgain(i);
+            }
+        }
     }
-    for (const auto &[index, resources] : taken) {
-        Resources free = m_occupancy.hosts()[index].free;
-        free -= resources;
-        fit.requiresWait = fit.requiresWait || !free.covers(Resources());
+    for (std::size_t i = 0; i < hosts.size(); ++i) {
+        Resources free = m_occupancy.hosts()[hosts[i]].free;
+        free -= taken[i];
+        fit.requiresWait = fit.requiresWait || (taken[i] != Resources() && !free.covers(Resources()));
     }
     return fit;
 }
 
-std::optional<Fit> FitSearch::bestFit(const Candidate &candidate, const std::vector<std::size_t> &hosts, CapacitySource source, bool singleRack) const
+std::optional<Fit> FitSearch::bestFit(const Candidate &candidate, const HostSet &hosts, CapacitySource source, bool singleRack) const
 {
     if (!singleRack) {
-        return tryFit(candidate, hosts, source);
-    }
-    std::map<std::string, std::vector<std::size_t>> racks;
-    for (const auto index : hosts) {
-        racks[m_occupancy.hosts()[index].rack].push_back(index);
+        return tryFit(candidate, hosts.all, source);
     }
     std::optional<Fit> best;
-    for (const auto &[rack, members] : racks) {
-        auto fit = tryFit(candidate, members, source);
+    for (const auto &rack : hosts.racks) {
+        auto fit = tryFit(candidate, rack, source);
         if (fit && (!best || fit->cost < best->cost)) {
             best = std::move(fit);
         }
@@ -170,19 +187,12 @@
     return capacityInTasks >= members;
 }
 
-bool FitSearch::requiresSingleRack(const Candidate &candidate, const std::vector<std::size_t> &hosts) const
+bool FitSearch::requiresSingleRack(const Candidate &candidate, const HostSet &hosts) const
 {
     const Step &step = candidate.ref.step();
-    if (!step.isGang || !step.prefersSingleRack) {
-        return false;
-    }
-    std::map<std::string, std::vector<std::size_t>> racks;
-    for (const auto index : hosts) {
-        racks[m_occupancy.hosts()[index].rack].push_back(index);
-    }
-    return std::any_of(racks.begin(), racks.end(), [&](const auto &rack) {
-        return fitsWhenEmpty(candidate, rack.second);
-    });
+    return step.isGang && step.prefersSingleRack && std::any_of(hosts.racks.begin(), hosts.racks.end(), [&](const auto &rack) {
+               return fitsWhenEmpty(candidate, rack);
+           });
 }
 
 } // namespace plantainfork::batch
--- a/src/batch/fit_search.h
+++ b/src/batch/fit_search.h
@@ -43,15 +43,26 @@
     FitSearch(const Occupancy &occupancy, const PlannerBounds &bounds);
 
     /** The cheapest placement of the unit on these hosts; with `singleRack`, on hosts of a single rack. */
-    [[nodiscard]] std::optional<Fit> bestFit(const Candidate &candidate, const std::vector<std::size_t> &hosts, CapacitySource source, bool singleRack) const;
+    [[nodiscard]] std::optional<Fit> bestFit(const Candidate &candidate, const HostSet &hosts, CapacitySource source, bool singleRack) const;
     /** Whether the unit asks for a single rack and would fit into one of these hosts' racks if that rack were empty. */
-    [[nodiscard]] bool requiresSingleRack(const Candidate &candidate, const std::vector<std::size_t> &hosts) const;
+    [[nodiscard]] bool requiresSingleRack(const Candidate &candidate, const HostSet &hosts) const;
 
 private:
     /** Preference among hosts with enough resources, of which `left` would stay free: lower is better. */
     [[nodiscard]] double hostCost(const HostState &state, const Candidate &candidate, const Resources &left) const;
-    /** Adds the cheapest victims on the host to the fit until the need is covered. Returns false if it can't be. */
-    bool selectVictims(const HostState &state, const Resources &need, Resources &free, Fit &fit, const Candidate &candidate) const;
+    /** What one more task of a unit would take from a host. */
+    struct HostTrial {
+        bool isPossible = false;
+        /** Cost of the task on this host, with that of the victims. */
+        double cost = 0;
+        /** Victims beyond those that the fit has already. */
+        std::vector<std::size_t> victims;
+    };
+
+    /** Tries one more task on a host from which the unit has taken `taken` already. */
+    [[nodiscard]] HostTrial tryHost(const HostState &state, const Candidate &candidate, CapacitySource source, const Fit &fit, const Resources &taken) const;
+    /** Adds the cheapest victims on the host to the trial until the need is covered. Returns false if it can't be. */
+    bool selectVictims(const HostState &state, const Candidate &candidate, const Fit &fit, Resources &free, HostTrial &trial) const;
     /** Free resources of a host under the given source, as if the victims chosen so far were gone. */
     [[nodiscard]] Resources freeResources(const HostState &state, CapacitySource source, const Fit &fit) const;
     /** Places the unit's tasks greedily, one after the other, each on the host where it costs least. */
--- a/src/batch/messages.h
+++ b/src/batch/messages.h
@@ -27,7 +27,10 @@
     MSGPACK_DEFINE(run, payload, checkpoint);
 };
 
-/** Complete orders for a host. A higher version replaces a lower one of the same fencing token. */
+/**
+ * Complete orders for a host. A higher version replaces a lower one of the same fencing token. A reply to an agent that has this version
+ * already leaves everything else out.
+ */
 struct Orders {
     std::uint64_t version = 0;
     HostIncarnation incarnation;
@@ -50,9 +53,11 @@
     Orders orders;
     /** How long the agent may renew the executor's lease, counted from when it sent the call. */
     std::chrono::milliseconds grant{0};
+    /** All entries; left out while the agent has the list of this version. */
     std::vector<wire::Address> entries;
+    std::uint64_t entriesVersion = 0;
 
-    MSGPACK_DEFINE_MAP(isLeader, isDoubtful, leader, token, orders, grant, entries);
+    MSGPACK_DEFINE_MAP(isLeader, isDoubtful, leader, token, orders, grant, entries, entriesVersion);
 };
 
 struct SyncCall {
@@ -69,6 +74,8 @@
     base::FencingToken listToken;
     base::FencingToken ordersToken;
     std::uint64_t ordersVersion = 0;
+    /** Version of the list of entries that the agent has; 0: none. */
+    std::uint64_t entriesVersion = 0;
     std::vector<Running> running;
     std::vector<Ended> ended;
     /** Ordered runs, or runs to stop, that never started and can't start any more. */
@@ -78,7 +85,20 @@
     /** How long the leader may hold the call while there are no newer orders. */
     std::chrono::milliseconds wait{0};
 
-    MSGPACK_DEFINE_MAP(host, agentIncarnation, sequence, hasReport, report, listToken, ordersToken, ordersVersion, running, ended, barred, starting, wait);
+    MSGPACK_DEFINE_MAP(host,
+                       agentIncarnation,
+                       sequence,
+                       hasReport,
+                       report,
+                       listToken,
+                       ordersToken,
+                       ordersVersion,
+                       entriesVersion,
+                       running,
+                       ended,
+                       barred,
+                       starting,
+                       wait);
 };
 
 struct PendingReply {
--- a/src/batch/occupancy.cpp
+++ b/src/batch/occupancy.cpp
@@ -6,66 +6,79 @@
 namespace plantainfork::batch
 {
 
-std::string rackOf(const HostReport &report)
-{
-    // A host reports its kind and its rack as labels. Only rack names contain a hyphen: they are numbered by region and place.
-    for (const auto &label : report.labels) {
-        if (label.find('-') != std::string::npos) {
-            return label;
-        }
-    }
-    return report.labels.empty() ? std::string() : *report.labels.rbegin();
-}
-
-Occupancy::Occupancy(Workload &workload, const WaitingOrder &order, const Progress &progress, const PlannerBounds &bounds, Instant now)
+Occupancy::Occupancy(Workload &workload,
+                     const WaitingOrder &order,
+                     const Progress &progress,
+                     const PlannerBounds &bounds,
+                     const std::set<base::DataCentreId> &evacuated,
+                     Instant now)
     : m_workload(workload)
     , m_now(now)
 {
-    collectHosts();
+    collectHosts(evacuated);
     collectPlacedUnits(order, progress, bounds);
 }
 
-void Occupancy::collectHosts()
+void Occupancy::collectHosts(const std::set<base::DataCentreId> &evacuated)
 {
-    for (const auto &[id, host] : m_workload.hosts()) {
+    const auto &hosts = m_workload.hosts();
+    m_hosts.reserve(hosts.size());
+    m_indexByNumber.assign(hosts.size(), NoIndex);
+    for (const auto &[id, host] : hosts) {
         if (!host.hasReport) {
             continue;
         }
         HostState state;
         state.host = &host;
-        state.rack = rackOf(host.report);
         state.free = host.report.capacity;
-        m_hostIndex[id] = m_hosts.size();
+        state.isOpen = !host.report.isDraining && !host.report.hasLeft && m_workload.isReachable(host, m_now) && m_now >= host.suspendedUntil
+            && !evacuated.contains(host.report.dataCentre);
+        m_hasDrainingHosts = m_hasDrainingHosts || host.report.isDraining;
+        m_indexByNumber[host.number] = m_hosts.size();
         m_hosts.push_back(std::move(state));
     }
 }
 
 void Occupancy::collectPlacedUnits(const WaitingOrder &order, const Progress &progress, const PlannerBounds &bounds)
 {
-    for (auto &[id, job] : m_workload.jobs()) {
-        const bool isUrgent = m_workload.priorityOf(job) == 0;
-        for (auto &unit : job.units) {
+    for (Job *job : m_workload.activeJobs()) {
+        if (job->unitsWithMembers == 0) {
+            continue;
+        }
+        const bool isUrgent = m_workload.priorityOf(*job) == 0;
+        for (auto &unit : job->units) {
             if (unit.members.empty()) {
                 continue;
             }
             PlacedUnit placedUnit;
-            placedUnit.ref = {&job, &unit};
+            placedUnit.ref = {job, &unit};
+            placedUnit.need = job->stepOf(unit).countedNeed();
             placedUnit.isReleasing = unit.stopReason != StopReason::None || unit.phase == UnitPhase::Done;
             placedUnit.endsAt = m_now;
             bool isEnding = true;
             for (const auto &member : unit.members) {
-                placedUnit.endsAt = std::max(placedUnit.endsAt, m_now + progress.remaining(job, unit, member));
-                isEnding = isEnding && progress.isEndingSoon(job, unit, member);
+                placedUnit.endsAt = std::max(placedUnit.endsAt, m_now + progress.remaining(*job, unit, member));
+                isEnding = isEnding && progress.isEndingSoon(*job, unit, member);
             }
             if (placedUnit.isReleasing) {
                 placedUnit.endsAt = m_now + bounds.killGrace;
             }
             placedUnit.isReleasing = placedUnit.isReleasing || isEnding;
-            placedUnit.lostWork = progress.workLostByStop(job, unit);
-            placedUnit.preemptionRank = order.isGuaranteed(job) ? 0 : isUrgent ? 1 : 2;
+            placedUnit.lostWork = progress.workLostByStop(*job, unit);
+            placedUnit.preemptionRank = order.isGuaranteed(*job) ? 0 : isUrgent ? 1 : 2;
             addPlacedUnit(placedUnit, progress);
         }
     }
+    for (auto &state : m_hosts) {
+        for (const auto &[placedIndex, members] : state.placedUnits) {
+            Resources resources;
+            for (unsigned i = 0; i < members; ++i) {
+                resources += m_placedUnits[placedIndex].need;
+            }
+            state.releases.emplace_back(m_placedUnits[placedIndex].endsAt, resources);
+        }
+        std::sort(state.releases.begin(), state.releases.end());
+    }
 }
 
 void Occupancy::addPlacedUnit(const PlacedUnit &placedUnit, const Progress &progress)
@@ -74,16 +87,17 @@
     const Unit &unit = *placedUnit.ref.unit;
     const std::size_t placedIndex = m_placedUnits.size();
     m_placedUnits.push_back(placedUnit);
-    const Resources need = job.stepOf(unit).countedNeed();
     for (const auto &member : unit.members) {
-        const auto index = m_hostIndex.find(member.host);
-        if (member.phase == MemberPhase::Ended || index == m_hostIndex.end()) {
+        const std::size_t index = m_indexByNumber[member.hostNumber];
+        if (member.phase == MemberPhase::Ended || index == NoIndex) {
             continue;
         }
-        HostState &host = m_hosts[index->second];
+        HostState &host = m_hosts[index];
         host.isStalled = host.isStalled || progress.isStalled(job, unit, member);
-        host.free -= need;
-        ++host.tasksPerStep[{&job, unit.occurrence, unit.step}];
+        host.free -= placedUnit.need;
+        if (job.stepOf(unit).maxTasksPerHost != 0) {
+            ++host.tasksPerStep[{&job, unit.occurrence, unit.step}];
+        }
         if (!host.placedUnits.empty() && host.placedUnits.back().first == placedIndex) {
             ++host.placedUnits.back().second;
         } else {
@@ -92,25 +106,52 @@
     }
 }
 
-std::vector<std::size_t> Occupancy::allowedHosts(const Candidate &candidate, const std::set<base::DataCentreId> &evacuated) const
+std::optional<Instant> Occupancy::earliestDrainDeadline(const PlacedUnit &placedUnit) const
 {
-    std::vector<std::size_t> hosts;
-    for (std::size_t i = 0; i < m_hosts.size(); ++i) {
-        if (allows(m_hosts[i], candidate, evacuated)) {
-            hosts.push_back(i);
+    std::optional<Instant> earliest;
+    if (!m_hasDrainingHosts) {
+        return earliest;
+    }
+    for (const auto &member : placedUnit.ref.unit->members) {
+        const std::size_t index = m_indexByNumber[member.hostNumber];
+        if (index != NoIndex && m_hosts[index].host->report.isDraining) {
+            const Instant deadline = m_hosts[index].host->drainDeadline;
+            earliest = earliest ? std::min(*earliest, deadline) : deadline;
         }
     }
-    return hosts;
+    return earliest;
 }
 
-bool Occupancy::allows(const HostState &state, const Candidate &candidate, const std::set<base::DataCentreId> &evacuated) const
+const HostSet &Occupancy::allowedHosts(const Candidate &candidate)
 {
-    const Step &step = candidate.ref.step();
-    const HostReport &report = state.host->report;
-    const base::ServiceId &service = m_workload.queueOf(*candidate.ref.job).service;
-    return report.service == service && (!state.isStalled || candidate.isGuaranteed) && !report.isDraining && !report.hasLeft
-        && m_workload.isReachable(*state.host, m_now) && m_now >= state.host->suspendedUntil && !evacuated.contains(report.dataCentre)
-        && (step.requiredLabel.empty() || report.labels.contains(step.requiredLabel));
+    HostSetKey key(m_workload.queueOf(*candidate.ref.job).service, candidate.ref.step().requiredLabel, candidate.isGuaranteed);
+    const auto found = m_hostSets.find(key);
+    if (found != m_hostSets.end()) {
+        return found->second;
+    }
+    HostSet hosts = collectHostSet(key);
+    return m_hostSets.emplace(std::move(key), std::move(hosts)).first->second;
+}
+
+HostSet Occupancy::collectHostSet(const HostSetKey &key) const
+{
+    const auto &[service, requiredLabel, isGuaranteed] = key;
+    HostSet hosts;
+    std::map<std::string, std::vector<std::size_t>> racks;
+    for (std::size_t i = 0; i < m_hosts.size(); ++i) {
+        const HostState &state = m_hosts[i];
+        const HostReport &report = state.host->report;
+        const bool isAllowed =
+            state.isOpen && report.service == service && (!state.isStalled || isGuaranteed) && (requiredLabel.empty() || report.labels.contains(requiredLabel));
+        if (isAllowed) {
+            hosts.all.push_back(i);
+            racks[state.host->rack].push_back(i);
+        }
+    }
+    for (auto &[rack, members] : racks) {
+        hosts.racks.push_back(std::move(members));
+    }
+    return hosts;
 }
 
 unsigned Occupancy::remainingPerHost(const HostState &state, const Candidate &candidate)
@@ -134,42 +175,38 @@
     return free;
 }
 
-Instant Occupancy::earliestStart(const HostState &state, const Resources &need, unsigned tasks) const
+std::vector<Instant> Occupancy::earliestStarts(const HostState &state, const Resources &need, unsigned tasks) const
 {
-    Resources total;
-    for (unsigned i = 0; i < tasks; ++i) {
-        total += need;
-    }
-    std::vector<std::pair<Instant, Resources>> releases;
-    for (const auto &[placedIndex, members] : state.placedUnits) {
-        Resources resources;
-        for (unsigned i = 0; i < members; ++i) {
-            resources += m_placedUnits[placedIndex].ref.step().countedNeed();
-        }
-        releases.emplace_back(m_placedUnits[placedIndex].endsAt, resources);
-    }
-    std::sort(releases.begin(), releases.end());
     Resources free = state.free;
     for (const auto &[from, resources] : state.reservations) {
         free -= resources;
     }
-    if (free.covers(total)) {
-        return m_now;
-    }
-    for (const auto &[at, resources] : releases) {
-        free += resources;
+    std::vector<Instant> starts;
+    Instant at = m_now;
+    auto release = state.releases.begin();
+    Resources total = need;
+    while (starts.size() < tasks) {
         if (free.covers(total)) {
-            return at;
+            starts.push_back(at);
+            total += need;
+        } else if (release == state.releases.end()) {
+            break;
+        } else {
+            at = release->first;
+            free += release->second;
+            ++release;
         }
     }
-    return Instant::max();
+    return starts;
 }
 
 void Occupancy::allocate(std::size_t host, const Candidate &candidate)
 {
     HostState &state = m_hosts[host];
     state.free -= candidate.ref.step().countedNeed();
-    ++state.tasksPerStep[{candidate.ref.job, candidate.ref.unit->occurrence, candidate.ref.unit->step}];
+    if (candidate.ref.step().maxTasksPerHost != 0) {
+        ++state.tasksPerStep[{candidate.ref.job, candidate.ref.unit->occurrence, candidate.ref.unit->step}];
+    }
 }
 
 void Occupancy::withholdForPreemptor(std::size_t host, const Resources &need)
--- a/src/batch/occupancy.h
+++ b/src/batch/occupancy.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <tuple>
@@ -16,12 +17,11 @@
 namespace plantainfork::batch
 {
 
-/** The rack among a host's labels: the first label with a hyphen, otherwise the last label. Empty if the host has no labels. */
-[[nodiscard]] std::string rackOf(const HostReport &report);
-
 /** A unit that holds resources on hosts, with what the planner needs to decide whether to wait for it or to preempt it. */
 struct PlacedUnit {
     UnitRef ref;
+    /** Resources of one of its members that count against a host's capacity. */
+    Resources need;
     Instant endsAt;
     /** Work lost if the whole unit is stopped now, in core-equivalent seconds. */
     double lostWork = 0;
@@ -33,22 +33,36 @@
 
 struct HostState {
     const Host *host = nullptr;
-    std::string rack;
     Resources free;
     /** Index of each placed unit on this host, and the number of its members here. */
     std::vector<std::pair<std::size_t, unsigned>> placedUnits;
+    /** When each placed unit is expected to end, with the resources that its members hold here; sorted by time. */
+    std::vector<std::pair<Instant, Resources>> releases;
     /** Resources reserved for blocked units, each from the given time on. */
     std::vector<std::pair<Instant, Resources>> reservations;
     /** A task on this host is stalled, so only guaranteed jobs are started here. */
     bool isStalled = false;
-    /** Number of tasks on this host by job, occurrence and step, to enforce Step::maxTasksPerHost. */
+    /** The host takes new tasks of some job. */
+    bool isOpen = false;
+    /** Number of tasks on this host by job, occurrence and step; only of steps with a Step::maxTasksPerHost. */
     std::map<std::tuple<const Job *, std::uint32_t, std::uint32_t>, unsigned> tasksPerStep;
 };
 
+/** Hosts that a group of candidates may use, as indices into Occupancy::hosts(); all of them, and by rack. */
+struct HostSet {
+    std::vector<std::size_t> all;
+    std::vector<std::vector<std::size_t>> racks;
+};
+
 class Occupancy
 {
 public:
-    Occupancy(Workload &workload, const WaitingOrder &order, const Progress &progress, const PlannerBounds &bounds, Instant now);
+    Occupancy(Workload &workload,
+              const WaitingOrder &order,
+              const Progress &progress,
+              const PlannerBounds &bounds,
+              const std::set<base::DataCentreId> &evacuated,
+              Instant now);
 
     [[nodiscard]] const std::vector<HostState> &hosts() const
     {
@@ -71,15 +85,17 @@
     {
         m_stopped.insert(placedUnit);
     }
+    /** The earliest time at which one of the unit's draining hosts may leave; empty if none is draining. */
+    [[nodiscard]] std::optional<Instant> earliestDrainDeadline(const PlacedUnit &placedUnit) const;
 
     /** Hosts that the candidate's tasks may run on, regardless of free resources. */
-    [[nodiscard]] std::vector<std::size_t> allowedHosts(const Candidate &candidate, const std::set<base::DataCentreId> &evacuated) const;
+    [[nodiscard]] const HostSet &allowedHosts(const Candidate &candidate);
     /** How many more tasks of the candidate's step the host may get under Step::maxTasksPerHost. */
     [[nodiscard]] static unsigned remainingPerHost(const HostState &state, const Candidate &candidate);
     /** Subtracts from `free` all reservations that begin before `endsAt`: what a task that runs until then may use. */
     [[nodiscard]] static Resources availableUntil(const HostState &state, Resources free, Instant endsAt);
-    /** When the host will have enough free resources for that many tasks if nothing else starts there; Instant::max() if never. */
-    [[nodiscard]] Instant earliestStart(const HostState &state, const Resources &need, unsigned tasks) const;
+    /** When the host will have enough free resources for one task, for two and so on, up to `tasks`, if nothing else starts there. */
+    [[nodiscard]] std::vector<Instant> earliestStarts(const HostState &state, const Resources &need, unsigned tasks) const;
 
     /** Allocates the resources of one task that is placed in this round. */
     void allocate(std::size_t host, const Candidate &candidate);
@@ -89,17 +105,26 @@
     void reserve(std::size_t host, Instant from, const Resources &need);
 
 private:
-    void collectHosts();
+    /** What decides, apart from the host's state, whether a candidate may use it: service, required label, and whether it is guaranteed. */
+    using HostSetKey = std::tuple<base::ServiceId, std::string, bool>;
+
+    void collectHosts(const std::set<base::DataCentreId> &evacuated);
     void collectPlacedUnits(const WaitingOrder &order, const Progress &progress, const PlannerBounds &bounds);
     void addPlacedUnit(const PlacedUnit &placedUnit, const Progress &progress);
-    [[nodiscard]] bool allows(const HostState &state, const Candidate &candidate, const std::set<base::DataCentreId> &evacuated) const;
+    [[nodiscard]] HostSet collectHostSet(const HostSetKey &key) const;
+
+    /** Marks the number of a host without a report in `m_indexByNumber`. */
+    static constexpr std::size_t NoIndex = static_cast<std::size_t>(-1);
 
     Workload &m_workload;
     Instant m_now;
     std::vector<HostState> m_hosts;
-    std::map<HostId, std::size_t> m_hostIndex;
+    /** Index into m_hosts by Host::number. */
+    std::vector<std::size_t> m_indexByNumber;
     std::vector<PlacedUnit> m_placedUnits;
     std::set<std::size_t> m_stopped;
+    std::map<HostSetKey, HostSet> m_hostSets;
+    bool m_hasDrainingHosts = false;
 };
 
 } // namespace plantainfork::batch
--- a/src/batch/planner.cpp
+++ b/src/batch/planner.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <map>
 #include <optional>
+#include <string_view>
 #include <utility>
 
 #include "batch/fit_search.h"
@@ -22,12 +23,10 @@
 public:
     PlanningRound(const PlannerBounds &bounds, Workload &workload, const std::set<base::DataCentreId> &evacuated, Instant now, WallTime wallNow)
         : m_bounds(bounds)
-        , m_workload(workload)
-        , m_evacuated(evacuated)
         , m_now(now)
         , m_progress(bounds, now)
         , m_order(workload, now, wallNow)
-        , m_occupancy(workload, m_order, m_progress, bounds, now)
+        , m_occupancy(workload, m_order, m_progress, bounds, evacuated, now)
         , m_fitSearch(m_occupancy, bounds)
     {
     }
@@ -46,12 +45,16 @@
     /** Places the unit; failing that, preempts others for it, or reserves resources. */
     void planUnit(const Candidate &candidate)
     {
-        const auto hosts = m_occupancy.allowedHosts(candidate, m_evacuated);
+        const HostSet &hosts = m_occupancy.allowedHosts(candidate);
         const bool singleRack = m_fitSearch.requiresSingleRack(candidate, hosts);
-        if (auto fit = m_fitSearch.bestFit(candidate, hosts, CapacitySource::Free, singleRack)) {
-            if (!shouldWaitForDataRack(candidate, hosts, *fit)) {
-                addPlacement(candidate, *fit);
-                return;
+        if (!isKnownNotToFit(candidate)) {
+            if (auto fit = m_fitSearch.bestFit(candidate, hosts, CapacitySource::Free, singleRack)) {
+                if (!shouldWaitForDataRack(candidate, hosts, *fit)) {
+                    addPlacement(candidate, *fit);
+                    return;
+                }
+            } else {
+                rememberNotToFit(candidate);
             }
         }
         ++m_plan.blocked;
@@ -71,6 +74,24 @@
         reserve(candidate, hosts, singleRack);
     }
 
+    /** Whether an earlier candidate of this round that needs no more on any host fitted nowhere. Free resources only shrink within a round. */
+    [[nodiscard]] bool isKnownNotToFit(const Candidate &candidate)
+    {
+        const Resources need = candidate.ref.step().countedNeed();
+        return std::any_of(m_misfits.begin(), m_misfits.end(), [&](const Misfit &misfit) {
+            return need.covers(misfit.need) && candidate.runTime >= misfit.runTime && misfit.hosts == &m_occupancy.allowedHosts(candidate);
+        });
+    }
+
+    void rememberNotToFit(const Candidate &candidate)
+    {
+        const Step &step = candidate.ref.step();
+        // A gang may lack room for the number of its tasks only, and a limit per host counts for its own step only.
+        if (!step.isGang && step.maxTasksPerHost == 0) {
+            m_misfits.push_back({step.countedNeed(), candidate.runTime, &m_occupancy.allowedHosts(candidate)});
+        }
+    }
+
     /** Without a guarantee, a preemption must not lose more work than the unit itself will do. */
     [[nodiscard]] bool isPreemptionWorthwhile(const Candidate &candidate, const Fit &fit) const
     {
@@ -80,16 +101,20 @@
     }
 
     /** Whether a task that could only start outside its data's rack does better to wait: that rack frees up sooner than the slowdown costs. */
-    [[nodiscard]] bool shouldWaitForDataRack(const Candidate &candidate, const std::vector<std::size_t> &hosts, const Fit &fit) const
+    [[nodiscard]] bool shouldWaitForDataRack(const Candidate &candidate, const HostSet &hosts, const Fit &fit) const
     {
         const Step &step = candidate.ref.step();
-        if (step.dataRack.empty() || candidate.isGuaranteed || step.isGang || m_occupancy.hosts()[fit.hosts.front()].rack == step.dataRack) {
+        if (step.dataRack.empty() || candidate.isGuaranteed || step.isGang || m_occupancy.hosts()[fit.hosts.front()].host->rack == step.dataRack) {
             return false;
         }
         const Duration loss = scaled(candidate.runTime, m_bounds.remoteFactor - 1.0);
-        return std::any_of(hosts.begin(), hosts.end(), [&](std::size_t index) {
-            return m_occupancy.hosts()[index].rack == step.dataRack
-                && m_occupancy.earliestStart(m_occupancy.hosts()[index], step.countedNeed(), 1) <= m_now + loss;
+        return std::any_of(hosts.all.begin(), hosts.all.end(), [&](std::size_t index) {
+            const HostState &state = m_occupancy.hosts()[index];
+            if (state.host->rack != step.dataRack) {
+                return false;
+            }
+            const auto starts = m_occupancy.earliestStarts(state, step.countedNeed(), 1);
+            return !starts.empty() && starts.front() <= m_now + loss;
         });
     }
 
@@ -116,22 +141,19 @@
     }
 
     /** Reserves resources for a blocked unit on the hosts where it can start earliest. */
-    void reserve(const Candidate &candidate, const std::vector<std::size_t> &hosts, bool singleRack)
+    void reserve(const Candidate &candidate, const HostSet &hosts, bool singleRack)
     {
         if (m_reservations >= m_bounds.maxReservations || candidate.latenessLevel == 2) {
             return;
         }
         const Step &step = candidate.ref.step();
         const std::size_t members = step.isGang ? step.tasks : 1;
-        std::map<std::string, std::vector<std::pair<Instant, std::size_t>>> racks;
-        for (const auto index : hosts) {
+        std::map<std::string_view, std::vector<std::pair<Instant, std::size_t>>> racks;
+        for (const auto index : hosts.all) {
             const HostState &state = m_occupancy.hosts()[index];
-            for (unsigned tasks = 1; tasks <= members && tasks <= Occupancy::remainingPerHost(state, candidate); ++tasks) {
-                const Instant at = m_occupancy.earliestStart(state, step.countedNeed(), tasks);
-                if (at == Instant::max()) {
-                    break;
-                }
-                racks[singleRack ? state.rack : std::string()].emplace_back(at, index);
+            const auto tasks = static_cast<unsigned>(std::min<std::size_t>(members, Occupancy::remainingPerHost(state, candidate)));
+            for (const Instant at : m_occupancy.earliestStarts(state, step.countedNeed(), tasks)) {
+                racks[singleRack ? std::string_view(state.host->rack) : std::string_view()].emplace_back(at, index);
             }
         }
         const std::vector<std::pair<Instant, std::size_t>> *best = nullptr;
@@ -159,7 +181,7 @@
     {
         for (std::size_t i = 0; i < m_occupancy.placedUnits().size(); ++i) {
             const PlacedUnit &placedUnit = m_occupancy.placedUnits()[i];
-            const auto deadline = placedUnit.isReleasing || m_occupancy.isStopped(i) ? std::nullopt : earliestDrainDeadline(placedUnit);
+            const auto deadline = placedUnit.isReleasing || m_occupancy.isStopped(i) ? std::nullopt : m_occupancy.earliestDrainDeadline(placedUnit);
             if (!deadline || placedUnit.endsAt <= *deadline) {
                 continue;
             }
@@ -191,36 +213,29 @@
         }
     }
 
-    /** The earliest time at which one of the unit's draining hosts may leave; empty if none is draining. */
-    [[nodiscard]] std::optional<Instant> earliestDrainDeadline(const PlacedUnit &placedUnit) const
-    {
-        std::optional<Instant> earliest;
-        for (const auto &member : placedUnit.ref.unit->members) {
-            const auto host = m_workload.hosts().find(member.host);
-            if (host != m_workload.hosts().end() && host->second.report.isDraining) {
-                earliest = earliest ? std::min(*earliest, host->second.drainDeadline) : host->second.drainDeadline;
-            }
-        }
-        return earliest;
-    }
-
-    [[nodiscard]] bool canStartElsewhere(const PlacedUnit &placedUnit) const
+    [[nodiscard]] bool canStartElsewhere(const PlacedUnit &placedUnit)
     {
         const Candidate again = m_order.candidate(*placedUnit.ref.job, *placedUnit.ref.unit);
-        const auto hosts = m_occupancy.allowedHosts(again, m_evacuated);
+        const HostSet &hosts = m_occupancy.allowedHosts(again);
         const bool singleRack = m_fitSearch.requiresSingleRack(again, hosts);
         return m_fitSearch.bestFit(again, hosts, CapacitySource::Free, singleRack).has_value();
     }
 
+    /** A task that fitted on none of its hosts. */
+    struct Misfit {
+        Resources need;
+        Duration runTime{};
+        const HostSet *hosts = nullptr;
+    };
+
     const PlannerBounds &m_bounds;
-    Workload &m_workload;
-    const std::set<base::DataCentreId> &m_evacuated;
     Instant m_now;
     Progress m_progress;
     WaitingOrder m_order;
     Occupancy m_occupancy;
     FitSearch m_fitSearch;
     unsigned m_reservations = 0;
+    std::vector<Misfit> m_misfits;
     Plan m_plan;
 };
 
--- a/src/batch/progress.cpp
+++ b/src/batch/progress.cpp
@@ -16,9 +16,6 @@
 constexpr std::uint32_t MinProgressForSpeed = 5;
 /** Age of the latest progress up to which a run is taken to be still advancing. Hosts list their runs once a second, plus network delay. */
 constexpr std::chrono::milliseconds MaxProgressAge{2500};
-/** Weight of an accelerator in cores; the same weight by which the users count lost work. */
-constexpr double CoresPerAccelerator = 8.0;
-constexpr double MillicoresPerCore = 1000.0;
 /** Fraction of its work that a checkpointing run loses when stopped: the stop itself writes a checkpoint, so only the restore is lost. */
 constexpr double RestoreLossFraction = 0.02;
 /** Minimum loss of any stop, in seconds of work: stopping and starting again. */
@@ -28,21 +25,11 @@
 
 } // namespace
 
-double toSeconds(Duration duration)
-{
-    return std::chrono::duration<double>(duration).count();
-}
-
 Duration scaled(Duration duration, double factor)
 {
     return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::nano>(static_cast<double>(duration.count()) * factor));
 }
 
-double coreEquivalents(const Resources &need)
-{
-    return static_cast<double>(need.millicores) / MillicoresPerCore + CoresPerAccelerator * static_cast<double>(need.accelerators);
-}
-
 double unsavedFraction(const Unit &unit, const Member &member)
 {
     return std::max(0.0, static_cast<double>(member.percent) - static_cast<double>(unit.savedPercent)) / WholePercent;
--- a/src/batch/progress.h
+++ b/src/batch/progress.h
@@ -12,14 +12,9 @@
 namespace plantainfork::batch
 {
 
-using Duration = runtime::Clock::duration;
-
 constexpr double WholePercent = 100.0;
 
-[[nodiscard]] double toSeconds(Duration duration);
 [[nodiscard]] Duration scaled(Duration duration, double factor);
-/** Converts resources to an equivalent number of cores, to compare lost work; an accelerator counts as eight cores. */
-[[nodiscard]] double coreEquivalents(const Resources &need);
 /** Fraction of the work, 0 to 1, that a member has done since its unit's last checkpoint. */
 [[nodiscard]] double unsavedFraction(const Unit &unit, const Member &member);
 
--- a/src/batch/records.h
+++ b/src/batch/records.h
@@ -68,8 +68,10 @@
 struct EntryRecord {
     base::MemberId member;
     wire::Address rpc;
+    /** Settings::processorShare of the entry; an entry of an earlier version doesn't tell it. */
+    double processorShare = 0;
 
-    MSGPACK_DEFINE(member, rpc);
+    MSGPACK_DEFINE(member, rpc, processorShare);
 };
 
 namespace keys
--- a/src/batch/scheduler.h
+++ b/src/batch/scheduler.h
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -17,6 +18,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
+#include "batch/candidacy.h"
 #include "batch/job_feed.h"
 #include "batch/messages.h"
 #include "batch/planner.h"
@@ -49,8 +51,9 @@
         , m_feed(store)
         , m_records(settings, store, metrics)
         , m_wake(executor)
-        , m_published(executor)
         , m_roundSeconds(metrics.histogram("plantainfork_batch_round_seconds"))
+        , m_syncCalls(metrics.counter("plantainfork_batch_sync_calls_total"))
+        , m_timerLag(metrics.gauge("plantainfork_batch_leader_timer_lag_milliseconds"))
         , m_placements(metrics.counter("plantainfork_batch_placements_total"))
         , m_stops(metrics.counter("plantainfork_batch_stops_total"))
         , m_blockedUnits(metrics.gauge("plantainfork_batch_blocked_units"))
@@ -70,7 +73,7 @@
         if (m_term) {
             m_term->isOver = true;
             const auto session = m_term->session;
-            m_published.notify();
+            m_term->notifyAllHosts();
             const auto ended = co_await m_store.destroySession(session, storeDeadline());
             log::write(log::Severity::Info, "office given up", {{"status", std::string(ended.message())}});
         }
@@ -80,18 +83,19 @@
     asio::awaitable<absl::StatusOr<SyncReply>> sync(SyncCall call)
     {
         if (!hasLeadership()) {
-            co_return redirect();
+            co_return redirect(call);
         }
         const auto term = m_term;
-        if (term->isLoaded && term->workload.applySync(call, runtime::Clock::now(), wallNow())) {
+        m_syncCalls.add();
+        if (term->isLoaded && term->workload.applySync(call, runtime::Clock::now(), wallNow()) == SyncEffect::Changed) {
             m_wake.notify();
         }
         const auto until = runtime::Clock::now() + std::min<std::chrono::milliseconds>(call.wait, SchedulerTiming::MaxSyncHold);
         while (!term->isOver && !hasNewerOrders(*term, call) && runtime::Clock::now() < until) {
-            co_await m_published.waitUntil(until);
+            co_await term->published(call.host).waitUntil(until);
         }
         if (term->isOver) {
-            co_return redirect();
+            co_return redirect(call);
         }
         co_return reply(*term, call);
     }
@@ -125,9 +129,20 @@
         std::erase(others, m_settings.rpc);
         return others;
     }
-    void setEntries(std::vector<wire::Address> entries)
+    /** Takes the list of all entries, this one included. */
+    void setEntries(const std::vector<EntryRecord> &entries)
     {
-        m_entries = std::move(entries);
+        m_entries.clear();
+        m_otherShares.clear();
+        std::string text;
+        for (const auto &entry : entries) {
+            m_entries.push_back(entry.rpc);
+            text += entry.rpc.host + ":" + std::to_string(entry.rpc.port) + ",";
+            if (entry.member != m_settings.id) {
+                m_otherShares.push_back(entry.processorShare);
+            }
+        }
+        m_entriesVersion = std::hash<std::string>()(text);
     }
 
 private:
@@ -139,18 +154,35 @@
         return m_term && !m_term->isOver;
     }
 
-    [[nodiscard]] SyncReply redirect() const
+    [[nodiscard]] SyncReply redirect(const SyncCall &call) const
     {
         SyncReply reply;
         reply.leader = m_leader;
-        reply.entries = m_entries;
+        addEntries(reply, call);
         return reply;
     }
 
+    /** The list of all entries is long beside the rest of a reply, and rarely changes. */
+    void addEntries(SyncReply &reply, const SyncCall &call) const
+    {
+        reply.entriesVersion = m_entriesVersion;
+        if (call.entriesVersion != m_entriesVersion) {
+            reply.entries = m_entries;
+        }
+    }
+
+    /** Whether the agent lacks something that it should learn at once. */
     static bool hasNewerOrders(const Term &term, const SyncCall &call)
     {
+        if (!call.hasReport) {
+            return false;
+        }
         const auto orders = term.orders.find(call.host);
-        return call.ordersToken != term.token || (orders != term.orders.end() && orders->second.version > call.ordersVersion);
+        if (orders == term.orders.end() || orders->second.incarnation != call.report.incarnation) {
+            // There is nothing to carry out yet, but an agent that hasn't listed its runs may need to learn the token.
+            return call.listToken != term.token;
+        }
+        return call.ordersToken != term.token || orders->second.version > call.ordersVersion;
     }
 
     [[nodiscard]] SyncReply reply(const Term &term, const SyncCall &call) const
@@ -160,13 +192,18 @@
         reply.isDoubtful = runtime::Clock::now() > term.leaseUntil;
         reply.leader = m_settings.rpc;
         reply.token = term.token;
-        reply.entries = m_entries;
+        addEntries(reply, call);
         const auto remaining = term.leaseUntil + m_maxGrant - runtime::Clock::now();
         reply.grant = std::clamp(std::chrono::duration_cast<std::chrono::milliseconds>(remaining), std::chrono::milliseconds(0), m_maxGrant);
         const auto orders = term.orders.find(call.host);
-        if (orders != term.orders.end()) {
+        if (orders == term.orders.end()) {
+            return reply;
+        }
+        if (hasNewerOrders(term, call)) {
             reply.orders = orders->second;
             dropKnownPayloads(reply.orders, call);
+        } else {
+            reply.orders.version = orders->second.version;
         }
         return reply;
     }
@@ -211,9 +248,8 @@
                 continue;
             }
             m_leader = {};
-            co_await runtime::sleepFor(
-                std::min<runtime::Clock::duration>(answerTime * SchedulerTiming::CandidateDelayFactor, SchedulerTiming::MaxCandidateDelay)
-                + runtime::uniformDelay(std::chrono::milliseconds(20)));
+            const auto delay = candidateDelay(answerTime, m_settings.processorShare, m_otherShares);
+            co_await runtime::sleepFor(delay + runtime::uniformDelay(std::chrono::milliseconds(20)));
             if (!m_isStopping && m_policy.policy() != nullptr) {
                 co_await tryTakeLease();
             }
@@ -276,7 +312,7 @@
         }
         WorkloadBounds bounds;
         bounds.maxGrant = m_maxGrant;
-        m_term = std::make_shared<Term>(base::FencingToken(result.written.front().lockIndex), bounds, runtime::Clock::now(), m_wake, m_published);
+        m_term = std::make_shared<Term>(m_executor, base::FencingToken(result.written.front().lockIndex), bounds, runtime::Clock::now(), m_wake);
         m_term->session = *session;
         m_term->leaseUntil = sentAt + m_settings.schedulerLease;
         m_leader = m_settings.rpc;
@@ -288,19 +324,23 @@
     {
         const auto self = this->shared_from_this();
         asio::co_spawn(m_executor, renewLease(self, term), asio::detached);
+        asio::co_spawn(m_executor, watchLoad(self, term), asio::detached);
         asio::co_spawn(m_executor, m_feed.follow(term), [self](const std::exception_ptr &) {});
         asio::co_spawn(m_executor, m_records.removeExpiredJobs(term), [self](const std::exception_ptr &) {});
         while (!term->isOver) {
+            std::chrono::milliseconds gap = SchedulerTiming::MinRoundGap;
             if (term->isLoaded) {
-                co_await runRound(*term);
+                const auto decisionTime = co_await runRound(*term);
+                const auto wanted = std::chrono::duration_cast<std::chrono::milliseconds>(decisionTime * SchedulerTiming::RoundGapFactor);
+                gap = std::clamp(wanted, SchedulerTiming::MinRoundGap, SchedulerTiming::MaxRoundGap);
             }
             if (!term->isOver) {
                 co_await m_wake.waitUntil(runtime::Clock::now() + SchedulerTiming::RoundInterval);
-                co_await runtime::sleepFor(SchedulerTiming::RoundGap);
+                co_await runtime::sleepFor(gap);
             }
         }
         log::write(log::Severity::Info, "office left", {{"token", std::to_string(term->token.value())}});
-        m_published.notify();
+        term->notifyAllHosts();
         if (m_term == term) {
             m_term = nullptr;
         }
@@ -328,7 +368,48 @@
         }
     }
 
-    asio::awaitable<void> runRound(Term &term)
+    /** Logs the leader's load, and hands the lease over if this entry can't keep up and another one is abler. */
+    asio::awaitable<void> watchLoad([[maybe_unused]] std::shared_ptr<Scheduler> self, std::shared_ptr<Term> term)
+    {
+        OverloadDetector overload;
+        const auto begin = runtime::Clock::now();
+        auto nextLine = begin + SchedulerTiming::LoadLogInterval;
+        while (!term->isOver) {
+            const auto due = runtime::Clock::now() + SchedulerTiming::LoadCheckInterval;
+            co_await runtime::sleepFor(SchedulerTiming::LoadCheckInterval);
+            const auto now = runtime::Clock::now();
+            overload.add(due, now);
+            m_timerLag.set(std::chrono::duration_cast<std::chrono::milliseconds>(overload.lag()).count());
+            if (now >= nextLine) {
+                logLoad(*term, overload.lag());
+                nextLine = now + SchedulerTiming::LoadLogInterval;
+            }
+            const bool mayHandOver = now - begin >= SchedulerTiming::MinTermBeforeHandOver && !term->isOver;
+            if (mayHandOver && overload.isOverloaded(now) && isAblerEntryKnown(m_settings.processorShare, m_otherShares)) {
+                logLoad(*term, overload.lag());
+                term->end("handed over to an abler entry");
+                const auto ended = co_await m_store.destroySession(term->session, storeDeadline());
+                log::write(log::Severity::Info, "lease handed over", {{"status", std::string(ended.message())}});
+            }
+        }
+    }
+
+    void logLoad(Term &term, runtime::Clock::duration timerLag) const
+    {
+        const auto milliseconds = [](runtime::Clock::duration duration) {
+            return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+        };
+        log::write(log::Severity::Info,
+                   "leader load",
+                   {{"hosts", std::to_string(term.workload.hosts().size())},
+                    {"active_jobs", std::to_string(term.workload.activeJobs().size())},
+                    {"oldest_report_ms", milliseconds(term.workload.oldestReportAge(runtime::Clock::now()))},
+                    {"timer_lag_ms", milliseconds(timerLag)},
+                    {"processor_share", std::to_string(m_settings.processorShare)}});
+    }
+
+    /** Decides, records and publishes. Returns the time that the decisions took, without that of the store. */
+    asio::awaitable<runtime::Clock::duration> runRound(Term &term)
     {
         const auto begin = runtime::Clock::now();
         if (m_policy.policy()) {
@@ -354,12 +435,14 @@
             log::write(log::Severity::Info, event.name, fields);
         }
         recordTimings(term.workload.takeTimings());
-        auto next = collectOrders(term);
-        m_roundSeconds.record(runtime::Clock::now() - begin);
+        auto changed = collectChangedOrders(term.workload);
+        const auto decisionTime = runtime::Clock::now() - begin;
+        m_roundSeconds.record(decisionTime);
         const bool isRecorded = co_await m_records.write(term);
         if (isRecorded) {
-            publish(term, std::move(next));
+            term.publish(std::move(changed));
         }
+        co_return decisionTime;
     }
 
     void recordTimings(const std::vector<JobTiming> &timings)
@@ -374,28 +457,13 @@
         }
     }
 
-    std::map<HostId, Orders> collectOrders(Term &term)
+    static std::map<HostId, Orders> collectChangedOrders(Workload &workload)
     {
-        std::map<HostId, Orders> all;
-        for (auto &[id, host] : term.workload.hosts()) {
-            Orders orders = term.workload.ordersFor(host);
-            orders.version = 0;
-            std::string encoded = wire::encode(orders);
-            auto &lastEncoded = term.encodedOrders[id];
-            if (lastEncoded != encoded) {
-                lastEncoded = std::move(encoded);
-                ++host.ordersVersion;
-            }
-            orders.version = host.ordersVersion;
-            all[id] = std::move(orders);
+        std::map<HostId, Orders> changed;
+        for (const auto &id : workload.takeChangedHosts()) {
+            changed[id] = workload.ordersFor(workload.hosts().at(id));
         }
-        return all;
-    }
-
-    void publish(Term &term, std::map<HostId, Orders> next)
-    {
-        term.orders = std::move(next);
-        m_published.notify();
+        return changed;
     }
 
     asio::any_io_executor m_executor;
@@ -409,12 +477,17 @@
     JobFeed<Store> m_feed;
     StateRecords<Store> m_records;
     runtime::Signal m_wake;
-    runtime::Signal m_published;
     std::shared_ptr<Term> m_term;
     wire::Address m_leader;
     std::vector<wire::Address> m_entries;
+    /** Changes with the list of entries; agents that have this version aren't sent the list again. */
+    std::uint64_t m_entriesVersion = 0;
+    /** Processor shares of the other entries. */
+    std::vector<ProcessorShare> m_otherShares;
     bool m_isStopping = false;
     metrics::Histogram &m_roundSeconds;
+    metrics::Counter &m_syncCalls;
+    metrics::Gauge &m_timerLag;
     metrics::Counter &m_placements;
     metrics::Counter &m_stops;
     metrics::Gauge &m_blockedUnits;
--- a/src/batch/settings.cpp
+++ b/src/batch/settings.cpp
@@ -36,7 +36,9 @@
 
 constexpr Range PortRange{1, 65'535};
 constexpr Range KeepEndedRange{1, 86'400};
-constexpr Range RemoteFactorRange{1, 100};
+constexpr double MinRemoteFactor = 1.0;
+constexpr double MaxRemoteFactor = 100.0;
+constexpr double MinProcessorShare = 0.001;
 
 std::string readName(TableReader &reader, std::string_view key)
 {
@@ -116,9 +118,8 @@
     if (const auto value = reader.integer("keep_ended_s", KeepEndedRange)) {
         settings.keepEnded = std::chrono::seconds(*value);
     }
-    if (const auto value = reader.integer("remote_factor", RemoteFactorRange)) {
-        settings.remoteFactor = static_cast<double>(*value);
-    }
+    settings.remoteFactor = reader.number("remote_factor", MinRemoteFactor, MaxRemoteFactor).value_or(settings.remoteFactor);
+    settings.processorShare = reader.number("processor_share", MinProcessorShare, 1.0).value_or(settings.processorShare);
     reader.reportUnknownKeys();
 }
 
--- a/src/batch/settings.h
+++ b/src/batch/settings.h
@@ -49,6 +49,8 @@
     /** How long the records of ended jobs are kept. */
     std::chrono::seconds keepEnded{150};
     double remoteFactor = 3.0;
+    /** Share of a processor that the host grants this process, 0 to 1. Entries with a large share lead before others. */
+    double processorShare = 1.0;
 };
 
 /** Parses settings from TOML text; `source` is the name of the text in findings. */
--- a/src/batch/term.h
+++ b/src/batch/term.h
@@ -20,8 +20,12 @@
     static constexpr std::chrono::milliseconds MaxSyncHold{1000};
     /** Upper bound on the time between two rounds, so that timeouts and due times are noticed without an event. */
     static constexpr std::chrono::milliseconds RoundInterval{200};
-    /** Delay between a wake-up and its round, so that events that arrive close together share one round. */
-    static constexpr std::chrono::milliseconds RoundGap{4};
+    /** Shortest delay between a wake-up and its round, so that events that arrive close together share one round. */
+    static constexpr std::chrono::milliseconds MinRoundGap{4};
+    /** Longest such delay, so that an urgent job doesn't wait noticeably for its round. */
+    static constexpr std::chrono::milliseconds MaxRoundGap{60};
+    /** The delay is the last round's time multiplied by this, which leaves most of a busy leader's processor to the agents' calls. */
+    static constexpr int RoundGapFactor = 3;
     /** Timeout of one store call; a usual answer takes milliseconds, a slow one about half a second. */
     static constexpr std::chrono::milliseconds StoreCallTimeout{1500};
     /** Timeout for reading all jobs or states at the start of a term: a megabyte takes a second over an entry's 10 Mbit/s link. */
@@ -29,9 +33,11 @@
     /** Longest wait of one watch call to the store. */
     static constexpr std::chrono::milliseconds WatchWait{10'000};
     static constexpr std::chrono::milliseconds RetryDelay{100};
-    /** A candidate waits this many store round-trip times before it tries to take the lease, so that an entry near the store wins. */
-    static constexpr int CandidateDelayFactor = 4;
-    static constexpr std::chrono::milliseconds MaxCandidateDelay{400};
+    /** How often the leader measures whether it keeps up, and how often it logs its load. */
+    static constexpr std::chrono::milliseconds LoadCheckInterval{250};
+    static constexpr std::chrono::seconds LoadLogInterval{10};
+    /** Shortest time from taking the lease to handing it over. */
+    static constexpr std::chrono::seconds MinTermBeforeHandOver{30};
     /** Records per transaction: the store accepts 32 operations; each record needs two and the lease condition one. */
     static constexpr std::size_t RecordsPerTransaction = 15;
     static constexpr std::chrono::seconds CleanupInterval{5};
@@ -50,11 +56,11 @@
 
 /** Everything that belongs to one leadership term; a new term starts with an empty one. */
 struct Term {
-    Term(base::FencingToken givenToken, WorkloadBounds bounds, runtime::Instant now, runtime::Signal &wakeSignal, runtime::Signal &publishedSignal)
+    Term(boost::asio::any_io_executor givenExecutor, base::FencingToken givenToken, WorkloadBounds bounds, runtime::Instant now, runtime::Signal &wakeSignal)
         : token(givenToken)
         , workload(givenToken, bounds, now)
         , wake(wakeSignal)
-        , published(publishedSignal)
+        , m_executor(std::move(givenExecutor))
     {
     }
 
@@ -66,7 +72,30 @@
         }
         isOver = true;
         wake.notify();
-        published.notify();
+        notifyAllHosts();
+    }
+
+    /** Notified when orders for the host have been published or the term is over. */
+    runtime::Signal &published(const HostId &host)
+    {
+        return m_published.try_emplace(host, m_executor).first->second;
+    }
+    void notifyAllHosts()
+    {
+        for (auto &[host, signal] : m_published) {
+            signal.notify();
+        }
+    }
+
+    /** Makes orders known to the agents; their records are in the store. */
+    void publish(std::map<HostId, Orders> changed)
+    {
+        for (auto &[host, next] : changed) {
+            Orders &current = orders[host];
+            next.version = current.version + 1;
+            current = std::move(next);
+            published(host).notify();
+        }
     }
 
     base::FencingToken token;
@@ -85,13 +114,12 @@
     std::map<base::JobId, JobState> pendingStates;
     /** Orders whose records are in the store, as sent to the agents. */
     std::map<HostId, Orders> orders;
-    /** Last encoded orders of each host, to detect changes. */
-    std::map<HostId, std::string> encodedOrders;
-    store::Index jobsIndex;
     /** Notified when a round is due. */
     runtime::Signal &wake;
-    /** Notified when orders have been published or the term is over. */
-    runtime::Signal &published;
+
+private:
+    boost::asio::any_io_executor m_executor;
+    std::map<HostId, runtime::Signal> m_published;
 };
 
 } // namespace plantainfork::batch
--- a/src/batch/waiting_order.cpp
+++ b/src/batch/waiting_order.cpp
@@ -11,29 +11,6 @@
 /** A job that takes longer than this many times its objective has no value to its caller any more. */
 constexpr int NoValueAfterObjectives = 3;
 
-/** Length of the critical path from the start of the step to the end of the job, by the caller's estimates. */
-Duration criticalPathFrom(const Job &job, std::uint32_t from)
-{
-    const auto &steps = job.spec.steps;
-    std::vector<Duration> pathLength(steps.size(), Duration::zero());
-    for (std::size_t i = steps.size(); i-- > 0;) {
-        pathLength[i] += steps[i].estimate;
-        for (const auto dependency : steps[i].dependsOn) {
-            pathLength[dependency] = std::max(pathLength[dependency], pathLength[i]);
-        }
-    }
-    return pathLength[from];
-}
-
-Duration criticalPath(const Job &job)
-{
-    Duration longest = Duration::zero();
-    for (std::uint32_t step = 0; step < job.spec.steps.size(); ++step) {
-        longest = std::max(longest, criticalPathFrom(job, step));
-    }
-    return longest;
-}
-
 } // namespace
 
 WaitingOrder::WaitingOrder(Workload &workload, Instant now, WallTime wallNow)
@@ -52,12 +29,9 @@
 void WaitingOrder::collectGuaranteedJobs()
 {
     std::map<base::WorkspaceId, std::vector<Job *>> urgent;
-    for (auto &[id, job] : m_workload.jobs()) {
-        if (isEnded(job.status)) {
-            continue;
-        }
-        if (m_workload.priorityOf(job) == 0) {
-            urgent[job.spec.workspace].push_back(&job);
+    for (Job *job : m_workload.activeJobs()) {
+        if (!isEnded(job->status) && m_workload.priorityOf(*job) == 0) {
+            urgent[job->spec.workspace].push_back(job);
         }
     }
     for (auto &[workspace, jobs] : urgent) {
@@ -74,10 +48,7 @@
         return a->acceptedAt < b->acceptedAt;
     });
     for (Job *job : jobs) {
-        std::int64_t need = 0;
-        for (const auto &step : job->spec.steps) {
-            need = std::max(need, step.tasks * step.need.accelerators);
-        }
+        const std::int64_t need = job->shape.peakAccelerators;
         if (need <= remainingGuarantee) {
             remainingGuarantee -= need;
             m_guaranteedJobs.insert(job);
@@ -88,10 +59,13 @@
 std::vector<Candidate> WaitingOrder::candidates() const
 {
     std::vector<Candidate> all;
-    for (auto &[id, job] : m_workload.jobs()) {
-        for (auto &unit : job.units) {
-            if (job.isReady(unit, m_wallNow)) {
-                all.push_back(candidate(job, unit));
+    for (Job *job : m_workload.activeJobs()) {
+        if (job->waitingUnits == 0) {
+            continue;
+        }
+        for (auto &unit : job->units) {
+            if (job->isReady(unit, m_wallNow)) {
+                all.push_back(candidate(*job, unit));
             }
         }
     }
@@ -109,15 +83,13 @@
     result.isGuaranteed = isGuaranteed(job);
     result.runTime = scaled(job.stepOf(unit).estimate, 1.0 - static_cast<double>(unit.savedPercent) / WholePercent);
     const Queue &queue = m_workload.queueOf(job);
-    const Duration objective = scaled(criticalPath(job), queue.slackFactor) + queue.latencyTarget;
+    const Duration objective = scaled(job.shape.criticalPath, queue.slackFactor) + queue.latencyTarget;
     Instant objectiveStart = job.acceptedAt;
     if (job.spec.occurrences > 0) {
         objectiveStart = m_now - (m_wallNow - job.dueAt(unit.occurrence));
     }
-    for (const auto &step : job.spec.steps) {
-        result.jobWork += toSeconds(step.estimate) * coreEquivalents(step.need) * step.tasks;
-    }
-    const Duration remainingPath = criticalPathFrom(job, unit.step);
+    result.jobWork = job.shape.work;
+    const Duration remainingPath = job.shape.pathFrom[unit.step];
     result.latestStart = objectiveStart + objective - remainingPath;
     result.latenessLevel = m_now <= result.latestStart ? 0 : m_now <= objectiveStart + NoValueAfterObjectives * objective - remainingPath ? 1 : 2;
     return result;
--- a/src/batch/waiting_order.h
+++ b/src/batch/waiting_order.h
@@ -41,15 +41,16 @@
         // Jobs that can all meet their objectives are sorted by latest start. Urgent or late jobs compete for scarce capacity, where taking
         // small jobs first serves more callers.
         const bool isShortestFirst = !isGuaranteed && (priority == 0 || latenessLevel > 0);
-        return std::tuple(!isGuaranteed,
-                          priority,
-                          latenessLevel,
-                          isShortestFirst ? jobWork : 0.0,
-                          latestStart,
-                          ref.job->spec.id.value(),
-                          ref.unit->occurrence,
-                          ref.unit->step,
-                          ref.unit->index);
+        using Key = std::tuple<bool, std::uint32_t, int, double, Instant, const base::JobId &, std::uint32_t, std::uint32_t, std::uint32_t>;
+        return Key(!isGuaranteed,
+                   priority,
+                   latenessLevel,
+                   isShortestFirst ? jobWork : 0.0,
+                   latestStart,
+                   ref.job->spec.id,
+                   ref.unit->occurrence,
+                   ref.unit->step,
+                   ref.unit->index);
     }
 };
 
--- a/src/batch/workload.cpp
+++ b/src/batch/workload.cpp
@@ -91,6 +91,17 @@
     return "none";
 }
 
+std::string rackOf(const HostReport &report)
+{
+    // A host reports its kind and its rack as labels. Only rack names contain a hyphen: they are numbered by region and place.
+    for (const auto &label : report.labels) {
+        if (label.find('-') != std::string::npos) {
+            return label;
+        }
+    }
+    return report.labels.empty() ? std::string() : *report.labels.rbegin();
+}
+
 Unit *Job::unit(const TaskId &task)
 {
     const std::size_t occurrences = std::max<std::size_t>(spec.occurrences, 1);
@@ -100,12 +111,27 @@
     return &units[task.occurrence * unitsPerOccurrence + stepOffsets[task.step] + (spec.steps[task.step].isGang ? 0 : task.index)];
 }
 
+void Job::setPhase(Unit &unit, UnitPhase phase)
+{
+    std::uint32_t &doneInStep = doneUnits[unit.occurrence * spec.steps.size() + unit.step];
+    if (unit.phase == UnitPhase::Waiting) {
+        --waitingUnits;
+    } else if (unit.phase == UnitPhase::Done) {
+        --allDoneUnits;
+        --doneInStep;
+    }
+    unit.phase = phase;
+    if (phase == UnitPhase::Waiting) {
+        ++waitingUnits;
+    } else if (phase == UnitPhase::Done) {
+        ++allDoneUnits;
+        ++doneInStep;
+    }
+}
+
 bool Job::isStepDone(std::uint32_t occurrence, std::uint32_t step) const
 {
-    const auto begin = units.begin() + static_cast<std::ptrdiff_t>(occurrence * unitsPerOccurrence + stepOffsets[step]);
-    return std::all_of(begin, begin + unitCount(spec.steps[step]), [](const Unit &unit) {
-        return unit.phase == UnitPhase::Done;
-    });
+    return doneUnits[occurrence * spec.steps.size() + step] == unitCount(spec.steps[step]);
 }
 
 WallTime Job::dueAt(std::uint32_t occurrence) const
@@ -167,7 +193,9 @@
         return;
     }
     Job &job = m_jobs[spec.id];
+    m_areActiveJobsCurrent = false;
     job.spec = std::move(spec);
+    job.shape = shapeOf(job.spec.steps);
     job.acceptedQueue.id = job.spec.queue;
     job.acceptedQueue.service = job.spec.service;
     job.acceptedQueue.priority = job.spec.priority;
@@ -180,6 +208,7 @@
         job.stepOffsets.push_back(job.unitsPerOccurrence);
         job.unitsPerOccurrence += unitCount(step);
     }
+    job.doneUnits.assign(job.spec.steps.size() * std::max(job.spec.occurrences, 1U), 0);
     for (std::uint32_t occurrence = 0; occurrence < std::max(job.spec.occurrences, 1U); ++occurrence) {
         for (std::uint32_t step = 0; step < job.spec.steps.size(); ++step) {
             for (std::uint32_t index = 0; index < unitCount(job.spec.steps[step]); ++index) {
@@ -191,6 +220,7 @@
             }
         }
     }
+    job.waitingUnits = job.units.size();
     if (!state) {
         log("job known", {{"job", job.spec.id.value()}, {"queue", job.spec.queue.value()}, {"workspace", job.spec.workspace.value()}});
         return;
@@ -206,13 +236,13 @@
         unit->attempt = record.attempt;
         unit->failures = record.failures;
         unit->checkpoint = record.checkpoint;
-        unit->phase = record.isDone ? UnitPhase::Done : record.members.empty() ? UnitPhase::Waiting : UnitPhase::Placed;
+        job.setPhase(*unit, record.isDone ? UnitPhase::Done : record.members.empty() ? UnitPhase::Waiting : UnitPhase::Placed);
         for (const auto &memberRecord : record.members) {
             Member member;
             member.host = memberRecord.host;
             member.incarnation = memberRecord.incarnation;
             member.orderedAt = member.startedAt = member.progressedAt = now;
-            unit->members.push_back(std::move(member));
+            addMember({&job, unit}, std::move(member));
         }
         if (isEnded(job.status) && !unit->members.empty()) {
             unit->stopReason = job.status == JobStatus::Failed ? StopReason::JobFailed : StopReason::Cancelled;
@@ -233,12 +263,84 @@
 
 void Workload::forgetJob(const base::JobId &id)
 {
-    m_jobs.erase(id);
+    const auto found = m_jobs.find(id);
+    if (found == m_jobs.end()) {
+        return;
+    }
+    for (auto &unit : found->second.units) {
+        markOrdersChanged(unit);
+        clearMembers(found->second, unit);
+    }
+    m_jobs.erase(found);
+    m_areActiveJobsCurrent = false;
+}
+
+const std::vector<Job *> &Workload::activeJobs()
+{
+    if (!m_areActiveJobsCurrent) {
+        m_activeJobs.clear();
+        for (auto &[id, job] : m_jobs) {
+            if (!isEnded(job.status) || job.unitsWithMembers > 0) {
+                m_activeJobs.push_back(&job);
+            }
+        }
+        m_areActiveJobsCurrent = true;
+    }
+    return m_activeJobs;
+}
+
+Host &Workload::hostFor(const HostId &id)
+{
+    Host &host = m_hosts[id];
+    if (host.id.isEmpty()) {
+        host.id = id;
+        host.number = m_hosts.size() - 1;
+    }
+    return host;
+}
+
+void Workload::addMember(UnitRef ref, Member member)
+{
+    Host &host = hostFor(member.host);
+    member.hostNumber = host.number;
+    if (std::find(host.units.begin(), host.units.end(), ref) == host.units.end()) {
+        host.units.push_back(ref);
+    }
+    ref.job->unitsWithMembers += ref.unit->members.empty() ? 1 : 0;
+    ref.unit->members.push_back(std::move(member));
+}
+
+void Workload::clearMembers(Job &job, Unit &unit)
+{
+    if (unit.members.empty()) {
+        return;
+    }
+    for (const auto &member : unit.members) {
+        std::erase(hostFor(member.host).units, UnitRef{&job, &unit});
+    }
+    unit.members.clear();
+    --job.unitsWithMembers;
+    if (job.unitsWithMembers == 0 && isEnded(job.status)) {
+        m_areActiveJobsCurrent = false;
+    }
+}
+
+void Workload::markOrdersChanged(const Unit &unit)
+{
+    for (const auto &member : unit.members) {
+        m_changedHosts.insert(member.host);
+    }
+}
+
+std::set<HostId> Workload::takeChangedHosts()
+{
+    return std::exchange(m_changedHosts, {});
 }
 
 void Workload::endJob(Job &job, JobStatus status, WallTime wallNow)
 {
     job.status = status;
+    m_areActiveJobsCurrent = false;
     job.endedMs = wallNow.time_since_epoch().count();
     job.isDirty = true;
     log("job ended",
@@ -253,10 +355,7 @@
 
 void Workload::finishJobIfDone(Job &job, WallTime wallNow)
 {
-    const bool isDone = std::all_of(job.units.begin(), job.units.end(), [](const Unit &unit) {
-        return unit.phase == UnitPhase::Done;
-    });
-    if (isDone && !isEnded(job.status)) {
+    if (job.allDoneUnits == job.units.size() && !isEnded(job.status)) {
         endJob(job, JobStatus::Complete, wallNow);
     }
 }
@@ -264,20 +363,20 @@
 void Workload::place(UnitRef ref, const std::vector<HostId> &hosts, Instant now)
 {
     Unit &unit = *ref.unit;
-    unit.phase = UnitPhase::Placed;
+    ref.job->setPhase(unit, UnitPhase::Placed);
     unit.attempt = unit.attempt.next();
     unit.stopReason = StopReason::None;
     std::string names;
     for (const auto &id : hosts) {
-        Host &host = m_hosts.at(id);
         Member member;
         member.host = id;
-        member.incarnation = host.report.incarnation;
+        member.incarnation = m_hosts.at(id).report.incarnation;
         member.percent = unit.savedPercent;
         member.orderedAt = member.startedAt = member.progressedAt = now;
-        unit.members.push_back(std::move(member));
+        addMember(ref, std::move(member));
         names += (names.empty() ? "" : ",") + id.value();
     }
+    markOrdersChanged(unit);
     const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - ref.job->acceptedAt);
     if (ref.job->status == JobStatus::Queued) {
         ref.job->status = JobStatus::Active;
@@ -300,6 +399,7 @@
         return;
     }
     unit.stopReason = reason;
+    markOrdersChanged(unit);
     std::string percents;
     for (const auto &member : unit.members) {
         percents += (percents.empty() ? "" : ",") + std::to_string(member.percent);
@@ -330,38 +430,39 @@
     return std::pair(UnitRef{&job->second, unit}, member);
 }
 
-bool Workload::applySync(const SyncCall &call, Instant now, WallTime wallNow)
+SyncEffect Workload::applySync(const SyncCall &call, Instant now, WallTime wallNow)
 {
-    Host &host = m_hosts[call.host];
-    if (host.id.isEmpty()) {
-        host.id = call.host;
+    Host &host = hostFor(call.host);
+    if (host.lastHeardAt == Instant()) {
         log("host heard", {{"host", call.host.value()}});
     }
     const bool isOutdated = call.agentIncarnation < host.agentIncarnation || (call.agentIncarnation == host.agentIncarnation && call.sequence <= host.sequence);
     if (isOutdated) {
-        return false;
+        return SyncEffect::Outdated;
     }
+    // A host that was out of contact offers its resources again.
+    bool isChanged = !isReachable(host, now);
     host.agentIncarnation = call.agentIncarnation;
     host.sequence = call.sequence;
     host.lastHeardAt = now;
     if (!call.hasReport) {
-        return true;
+        return SyncEffect::Progress;
     }
-    applyReport(host, call, now, wallNow);
+    isChanged = applyReport(host, call, now, wallNow) || isChanged;
     if (call.listToken != m_token) {
-        return true;
+        return isChanged ? SyncEffect::Changed : SyncEffect::Progress;
     }
     if (!host.isListed) {
         host.isListed = true;
         log("host listed", {{"host", call.host.value()}, {"running", std::to_string(call.running.size())}, {"ended", std::to_string(call.ended.size())}});
     }
-    applyRunningRuns(host, call, now);
-    applyEndedRuns(host, call, now, wallNow);
-    applyBarredRuns(host, call, now, wallNow);
-    return true;
+    isChanged = applyRunningRuns(host, call, now) || isChanged;
+    isChanged = applyEndedRuns(host, call, now, wallNow) || isChanged;
+    isChanged = applyBarredRuns(host, call, now, wallNow) || isChanged;
+    return isChanged ? SyncEffect::Changed : SyncEffect::Progress;
 }
 
-void Workload::applyReport(Host &host, const SyncCall &call, Instant now, WallTime wallNow)
+bool Workload::applyReport(Host &host, const SyncCall &call, Instant now, WallTime wallNow)
 {
     const bool isNew = !host.hasReport || host.report.incarnation != call.report.incarnation;
     if (host.hasReport && host.report.isDraining != call.report.isDraining) {
@@ -371,7 +472,13 @@
              {"remaining_ms", std::to_string(call.report.remaining.count())}});
     }
     const bool hasJustLeft = call.report.hasLeft && (isNew || !host.report.hasLeft);
+    const bool isChanged = isNew || hasJustLeft || host.report.isDraining != call.report.isDraining || host.report.capacity != call.report.capacity
+        || host.report.labels != call.report.labels;
     host.report = call.report;
+    if (isChanged) {
+        host.rack = rackOf(host.report);
+        m_changedHosts.insert(host.id);
+    }
     host.hasReport = true;
     host.leftAt = hasJustLeft ? now : call.report.hasLeft ? host.leftAt : Instant();
     host.drainDeadline = now + call.report.remaining;
@@ -383,10 +490,12 @@
         host.suspendedUntil = Instant();
         resolveRestartedExecutor(host, now, wallNow);
     }
+    return isChanged;
 }
 
-void Workload::applyRunningRuns(Host &host, const SyncCall &call, Instant now)
+bool Workload::applyRunningRuns(Host &host, const SyncCall &call, Instant now)
 {
+    bool isChanged = false;
     std::set<RunId> unexpectedRuns;
     for (const auto &running : call.running) {
         const auto found = findMember(running.run, host.id);
@@ -397,6 +506,7 @@
         Unit &unit = *found->first.unit;
         Member &member = unit.members[found->second];
         if (member.phase == MemberPhase::Ordered) {
+            isChanged = true;
             member.phase = MemberPhase::Running;
             member.startedAt = member.progressedAt = now;
             member.percent = member.firstPercent = running.percent;
@@ -416,22 +526,31 @@
             log("run unknown, to be stopped", {{"job", run.task.job.value()}, {"task", run.task.text()}, {"host", host.id.value()}});
         }
     }
-    host.unexpectedRuns = std::move(unexpectedRuns);
+    if (host.unexpectedRuns != unexpectedRuns) {
+        isChanged = true;
+        host.unexpectedRuns = std::move(unexpectedRuns);
+        m_changedHosts.insert(host.id);
+    }
+    return isChanged;
 }
 
-void Workload::applyEndedRuns(Host &host, const SyncCall &call, Instant now, WallTime wallNow)
+bool Workload::applyEndedRuns(Host &host, const SyncCall &call, Instant now, WallTime wallNow)
 {
+    bool isChanged = false;
     for (const auto &ended : call.ended) {
         if (ended.number <= host.processedEnds) {
             continue;
         }
         host.processedEnds = ended.number;
+        m_changedHosts.insert(host.id);
+        isChanged = true;
         if (const auto found = findMember(ended.run, host.id)) {
             endMember(*found->first.job, *found->first.unit, found->second, ended.kind, ended.checkpoint, now, wallNow);
         } else {
             applyLateEnd(ended, wallNow);
         }
     }
+    return isChanged;
 }
 
 void Workload::applyLateEnd(const Ended &ended, WallTime wallNow)
@@ -452,7 +571,7 @@
     job->second.isDirty = true;
     if (ended.kind == EndKind::Done) {
         stop({&job->second, unit}, StopReason::Superseded);
-        unit->phase = UnitPhase::Done;
+        job->second.setPhase(*unit, UnitPhase::Done);
         finishJobIfDone(job->second, wallNow);
     } else if (hasReachedFailureLimit(job->second, *unit)) {
         endJob(job->second, JobStatus::Failed, wallNow);
@@ -464,34 +583,37 @@
     return unit.failures.size() >= queueOf(job).maxFailures && !job.stepOf(unit).isLongRunning;
 }
 
-void Workload::applyBarredRuns(Host &host, const SyncCall &call, Instant now, WallTime wallNow)
+bool Workload::applyBarredRuns(Host &host, const SyncCall &call, Instant now, WallTime wallNow)
 {
+    bool isChanged = false;
     for (const auto &run : call.barred) {
-        if (const auto found = findMember(run, host.id)) {
+        const auto found = findMember(run, host.id);
+        if (found && found->first.unit->members[found->second].phase != MemberPhase::Ended) {
+            isChanged = true;
             endMember(*found->first.job, *found->first.unit, found->second, EndKind::Refused, "", now, wallNow);
         }
     }
+    return isChanged;
 }
 
 void Workload::resolveRestartedExecutor(const Host &host, Instant now, WallTime wallNow)
 {
     const HostIncarnation &present = host.report.incarnation;
-    for (auto &[id, job] : m_jobs) {
-        for (auto &unit : job.units) {
-            for (std::size_t i = 0; i < unit.members.size(); ++i) {
-                Member &member = unit.members[i];
-                if (member.host != host.id || member.phase == MemberPhase::Ended || member.incarnation == present) {
-                    continue;
-                }
-                // Executors are addressed by id alone, so the new incarnation may receive an order that no incarnation has listed yet.
-                const bool mayHaveReceivedOrder =
-                    member.phase == MemberPhase::Ordered && member.incarnation.instance == present.instance && unit.phase == UnitPhase::Placed;
-                if (mayHaveReceivedOrder) {
-                    member.incarnation = present;
-                    stop({&job, &unit}, StopReason::HostRestarted);
-                } else {
-                    markMemberLost(job, unit, i, now, wallNow, "executor restarted");
-                }
+    const auto units = host.units;
+    for (const auto &[job, unit] : units) {
+        for (std::size_t i = 0; i < unit->members.size(); ++i) {
+            Member &member = unit->members[i];
+            if (member.host != host.id || member.phase == MemberPhase::Ended || member.incarnation == present) {
+                continue;
+            }
+            // Executors are addressed by id alone, so the new incarnation may receive an order that no incarnation has listed yet.
+            const bool mayHaveReceivedOrder =
+                member.phase == MemberPhase::Ordered && member.incarnation.instance == present.instance && unit->phase == UnitPhase::Placed;
+            if (mayHaveReceivedOrder) {
+                member.incarnation = present;
+                stop({job, unit}, StopReason::HostRestarted);
+            } else {
+                markMemberLost(*job, *unit, i, now, wallNow, "executor restarted");
             }
         }
     }
@@ -504,14 +626,13 @@
     endMember(job, unit, member, EndKind::Lost, "", now, wallNow);
 }
 
-void Workload::markMembersLost(const HostId &host, Instant now, WallTime wallNow, std::string_view why)
+void Workload::markMembersLost(Host &host, Instant now, WallTime wallNow, std::string_view why)
 {
-    for (auto &[id, job] : m_jobs) {
-        for (auto &unit : job.units) {
-            for (std::size_t i = 0; i < unit.members.size(); ++i) {
-                if (unit.members[i].host == host && unit.members[i].phase != MemberPhase::Ended) {
-                    markMemberLost(job, unit, i, now, wallNow, why);
-                }
+    const auto units = host.units;
+    for (const auto &[job, unit] : units) {
+        for (std::size_t i = 0; i < unit->members.size(); ++i) {
+            if (unit->members[i].host == host.id && unit->members[i].phase != MemberPhase::Ended) {
+                markMemberLost(*job, *unit, i, now, wallNow, why);
             }
         }
     }
@@ -520,24 +641,20 @@
 void Workload::expireSilentHosts(Instant now, WallTime wallNow)
 {
     const auto limit = m_bounds.maxGrant + m_bounds.grantMargin;
-    std::set<HostId> expiredHosts;
-    for (const auto &[id, job] : m_jobs) {
-        for (const auto &unit : job.units) {
-            for (const auto &member : unit.members) {
-                const auto host = m_hosts.find(member.host);
-                const Instant heard = host == m_hosts.end() ? m_termStart : std::max(host->second.lastHeardAt, m_termStart);
-                const bool hasLeft = host != m_hosts.end() && host->second.report.hasLeft && host->second.report.incarnation == member.incarnation
-                    && now - host->second.leftAt > m_bounds.departureMargin;
-                if (member.phase != MemberPhase::Ended && (hasLeft || now - heard > limit)) {
-                    expiredHosts.insert(member.host);
-                }
-            }
+    for (auto &[id, host] : m_hosts) {
+        const bool isSilent = now - std::max(host.lastHeardAt, m_termStart) > limit;
+        const bool hasLeft = host.report.hasLeft && now - host.leftAt > m_bounds.departureMargin;
+        if (!isSilent && !hasLeft) {
+            continue;
         }
-    }
-    for (const auto &host : expiredHosts) {
-        markMembersLost(host, now, wallNow, "host left, or silent for longer than its grant");
-        if (const auto found = m_hosts.find(host); found != m_hosts.end()) {
-            found->second.isListed = false;
+        const bool hasExpiredRuns = std::any_of(host.units.begin(), host.units.end(), [&](const UnitRef &ref) {
+            return std::any_of(ref.unit->members.begin(), ref.unit->members.end(), [&](const Member &member) {
+                return member.host == host.id && member.phase != MemberPhase::Ended && (isSilent || member.incarnation == host.report.incarnation);
+            });
+        });
+        if (hasExpiredRuns) {
+            markMembersLost(host, now, wallNow, "host left, or silent for longer than its grant");
+            host.isListed = false;
         }
     }
 }
@@ -550,6 +667,7 @@
     }
     member.phase = MemberPhase::Ended;
     member.end = kind;
+    m_changedHosts.insert(member.host);
     job.isDirty = true;
     if (!checkpoint.empty()) {
         unit.checkpoint = checkpoint;
@@ -564,9 +682,9 @@
          {"ran_ms", std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(now - member.startedAt).count())}});
     const bool isLongRunningStep = job.stepOf(unit).isLongRunning;
     if (kind == EndKind::Done) {
-        m_hosts[member.host].consecutiveFailures = 0;
+        hostFor(member.host).consecutiveFailures = 0;
         if (!isLongRunningStep) {
-            unit.phase = UnitPhase::Done;
+            job.setPhase(unit, UnitPhase::Done);
         }
     }
     if (kind == EndKind::Failed) {
@@ -578,7 +696,7 @@
 void Workload::countFailure(Job &job, Unit &unit, const Member &member, Instant now)
 {
     unit.failures.insert(unit.attempt);
-    Host &host = m_hosts[member.host];
+    Host &host = hostFor(member.host);
     const bool failedElsewhere = std::any_of(unit.failedHosts.begin(), unit.failedHosts.end(), [&](const HostId &other) {
         return other != member.host;
     });
@@ -599,15 +717,16 @@
         return;
     }
     if (unit.phase == UnitPhase::Done) {
+        markOrdersChanged(unit);
         if (!hasActiveMembers(unit)) {
-            unit.members.clear();
+            clearMembers(job, unit);
         }
         finishJobIfDone(job, wallNow);
         return;
     }
-    unit.members.clear();
+    clearMembers(job, unit);
     unit.stopReason = StopReason::None;
-    unit.phase = UnitPhase::Waiting;
+    job.setPhase(unit, UnitPhase::Waiting);
     if (!job.stepOf(unit).hasCheckpoints) {
         unit.savedPercent = 0;
     }
@@ -619,25 +738,25 @@
 Orders Workload::ordersFor(const Host &host) const
 {
     Orders orders;
-    orders.version = host.ordersVersion;
     orders.incarnation = host.report.incarnation;
     orders.acknowledged = host.processedEnds;
     orders.stops.assign(host.unexpectedRuns.begin(), host.unexpectedRuns.end());
-    for (const auto &[id, job] : m_jobs) {
-        for (const auto &unit : job.units) {
-            const bool shouldRun = unit.phase == UnitPhase::Placed;
-            const bool shouldStop = unit.stopReason != StopReason::None;
-            for (std::size_t i = 0; i < unit.members.size(); ++i) {
-                const Member &member = unit.members[i];
-                if (member.host != host.id || member.phase == MemberPhase::Ended || (!shouldRun && !shouldStop)) {
-                    continue;
-                }
-                const RunId run{job.taskOf(unit, i), unit.attempt};
-                if (shouldStop) {
-                    orders.stops.push_back(run);
-                } else {
-                    orders.runs.push_back({run, job.spec.payload, unit.checkpoint});
-                }
+    for (const auto &[job, unit] : host.units) {
+        const bool shouldRun = unit->phase == UnitPhase::Placed;
+        const bool shouldStop = unit->stopReason != StopReason::None;
+        for (std::size_t i = 0; i < unit->members.size(); ++i) {
+            const Member &member = unit->members[i];
+            if (member.host != host.id || member.phase == MemberPhase::Ended || (!shouldRun && !shouldStop)) {
+                continue;
+            }
+            const RunId run{job->taskOf(*unit, i), unit->attempt};
+            if (shouldStop) {
+                orders.stops.push_back(run);
+            } else if (member.phase == MemberPhase::Ordered) {
+                orders.runs.push_back({run, job->spec.payload, unit->checkpoint});
+            } else {
+                // The host has listed the run, so it needs neither payload nor checkpoint any more.
+                orders.runs.push_back({run, "", ""});
             }
         }
     }
@@ -646,9 +765,9 @@
 
 void Workload::markCheckpoints(Instant now)
 {
-    for (auto &[id, job] : m_jobs) {
-        if (job.hasNewCheckpoint && now - job.recordedAt >= m_bounds.checkpointInterval) {
-            job.isDirty = true;
+    for (Job *job : activeJobs()) {
+        if (job->hasNewCheckpoint && now - job->recordedAt >= m_bounds.checkpointInterval) {
+            job->isDirty = true;
         }
     }
 }
@@ -680,6 +799,17 @@
     return state;
 }
 
+Duration Workload::oldestReportAge(Instant now) const
+{
+    Duration oldest{};
+    for (const auto &[id, host] : m_hosts) {
+        if (isReachable(host, now)) {
+            oldest = std::max(oldest, now - host.lastHeardAt);
+        }
+    }
+    return oldest;
+}
+
 bool Workload::isReachable(const Host &host, Instant now) const
 {
     return host.hasReport && host.isListed && now - host.lastHeardAt <= ContactTimeout;
--- a/src/batch/workload.h
+++ b/src/batch/workload.h
@@ -11,6 +11,7 @@
 #include <string>
 #include <vector>
 
+#include "batch/job_shape.h"
 #include "batch/messages.h"
 #include "batch/model.h"
 #include "batch/records.h"
@@ -31,6 +32,8 @@
 /** One task of a placed unit. */
 struct Member {
     HostId host;
+    /** Host::number of the host. */
+    std::size_t hostNumber = 0;
     HostIncarnation incarnation;
     MemberPhase phase = MemberPhase::Ordered;
     EndKind end = EndKind::Lost;
@@ -68,6 +71,8 @@
 };
 
 [[nodiscard]] std::string_view statusText(JobStatus status);
+/** The rack among a host's labels: the first label with a hyphen, otherwise the last label. Empty if the host has no labels. */
+[[nodiscard]] std::string rackOf(const HostReport &report);
 [[nodiscard]] std::string_view stopReasonText(StopReason reason);
 
 struct Unit {
@@ -109,9 +114,16 @@
     Instant recordedAt;
     Instant acceptedAt;
     std::int64_t endedMs = 0;
+    JobShape shape;
     /** Offset of a step's first unit within one occurrence. */
     std::vector<std::size_t> stepOffsets;
     std::size_t unitsPerOccurrence = 0;
+    /** Number of units that are done, by occurrence and step. */
+    std::vector<std::uint32_t> doneUnits;
+    /** Numbers of units in the phases Waiting and Done, and of units that have members; kept by setPhase() and the workload. */
+    std::size_t waitingUnits = 0;
+    std::size_t allDoneUnits = 0;
+    std::size_t unitsWithMembers = 0;
     /** The queue's settings when the job was accepted; used once the queue is removed. */
     Queue acceptedQueue;
 
@@ -125,6 +137,8 @@
     {
         return spec.steps[task.step].isGang ? task.index : 0;
     }
+    /** Changes the unit's phase and the counts that depend on it. */
+    void setPhase(Unit &unit, UnitPhase phase);
     /** Whether all units of the step are done in this occurrence. */
     [[nodiscard]] bool isStepDone(std::uint32_t occurrence, std::uint32_t step) const;
     /** Whether the unit may be placed: it waits, its job has not ended, its occurrence is due and the steps it depends on are done. */
@@ -147,7 +161,11 @@
 
 struct Host {
     HostId id;
+    /** Hosts are numbered from 0 in the order in which they become known. */
+    std::size_t number = 0;
     HostReport report;
+    /** Rack according to the report's labels; empty if they name none. */
+    std::string rack;
     bool hasReport = false;
     /** The host has listed its runs under this leader's fencing token. */
     bool isListed = false;
@@ -166,8 +184,8 @@
     unsigned consecutiveFailures = 0;
     /** The host gets no new work before this time. */
     Instant suspendedUntil;
-    /** Version of the host's orders; incremented when they change. */
-    std::uint64_t ordersVersion = 0;
+    /** Units with members on this host, in the order of their placement. */
+    std::vector<UnitRef> units;
 };
 
 /** A log event: its name and fields. The caller writes it, since this class does no I/O. */
@@ -199,6 +217,15 @@
     std::chrono::milliseconds checkpointInterval{2000};
 };
 
+enum class SyncEffect {
+    /** The call is not newer than the last one applied, and was ignored. */
+    Outdated,
+    /** Nothing but progress has changed, which the next periodic round takes into account. */
+    Progress,
+    /** Runs, or what the host offers, have changed, so a round may decide differently at once. */
+    Changed,
+};
+
 class Workload
 {
 public:
@@ -209,8 +236,8 @@
     void cancelJob(const base::JobId &id, WallTime wallNow);
     void forgetJob(const base::JobId &id);
 
-    /** Applies an agent's sync call. Returns false, without applying it, if the call is not newer than the last one applied. */
-    bool applySync(const SyncCall &call, Instant now, WallTime wallNow);
+    /** Applies an agent's sync call. */
+    SyncEffect applySync(const SyncCall &call, Instant now, WallTime wallNow);
     /** Marks runs as lost on hosts that have left, and on hosts whose agents have been silent for longer than a grant plus its margin. */
     void expireSilentHosts(Instant now, WallTime wallNow);
 
@@ -221,9 +248,13 @@
     /** Marks jobs with new checkpoints as dirty once the checkpoint interval has passed. */
     void markCheckpoints(Instant now);
 
+    /** Hosts whose orders may differ from those at the previous call. */
+    [[nodiscard]] std::set<HostId> takeChangedHosts();
     /** The complete orders for a host: what it should run and what it should stop. */
     [[nodiscard]] Orders ordersFor(const Host &host) const;
     [[nodiscard]] JobState recordOf(const Job &job) const;
+    /** Time since the last call of the reachable host that has been silent for longest. */
+    [[nodiscard]] Duration oldestReportAge(Instant now) const;
     /** Whether the host may be given work: it has listed its runs, and its agent has called recently. */
     [[nodiscard]] bool isReachable(const Host &host, Instant now) const;
 
@@ -231,6 +262,8 @@
     {
         return m_jobs;
     }
+    /** Jobs that have not ended or still have runs on hosts, by their ids. */
+    [[nodiscard]] const std::vector<Job *> &activeJobs();
     [[nodiscard]] std::map<HostId, Host> &hosts()
     {
         return m_hosts;
@@ -261,17 +294,23 @@
     static constexpr std::chrono::milliseconds ContactTimeout{2600};
 
 private:
-    void applyReport(Host &host, const SyncCall &call, Instant now, WallTime wallNow);
-    void applyRunningRuns(Host &host, const SyncCall &call, Instant now);
-    void applyEndedRuns(Host &host, const SyncCall &call, Instant now, WallTime wallNow);
-    void applyBarredRuns(Host &host, const SyncCall &call, Instant now, WallTime wallNow);
+    /** The functions that apply a part of a sync call return whether it changed more than progress. */
+    bool applyReport(Host &host, const SyncCall &call, Instant now, WallTime wallNow);
+    bool applyRunningRuns(Host &host, const SyncCall &call, Instant now);
+    bool applyEndedRuns(Host &host, const SyncCall &call, Instant now, WallTime wallNow);
+    bool applyBarredRuns(Host &host, const SyncCall &call, Instant now, WallTime wallNow);
     /**
      * Marks runs of an earlier incarnation of the host's executor as lost. A run whose order the present incarnation may have received is
      * ordered to stop instead, so that it is barred there before the task starts elsewhere.
      */
     void resolveRestartedExecutor(const Host &host, Instant now, WallTime wallNow);
     void markMemberLost(Job &job, Unit &unit, std::size_t member, Instant now, WallTime wallNow, std::string_view why);
-    void markMembersLost(const HostId &host, Instant now, WallTime wallNow, std::string_view why);
+    void markMembersLost(Host &host, Instant now, WallTime wallNow, std::string_view why);
+    /** The host of that id; one that hasn't been heard yet is added without a report. */
+    Host &hostFor(const HostId &id);
+    void addMember(UnitRef ref, Member member);
+    void clearMembers(Job &job, Unit &unit);
+    void markOrdersChanged(const Unit &unit);
     void endMember(Job &job, Unit &unit, std::size_t member, EndKind kind, const std::string &checkpoint, Instant now, WallTime wallNow);
     /** Once a member has ended: stops the rest of its gang, finishes the unit, or returns it to waiting. */
     void updateUnitAfterEnd(Job &job, Unit &unit, Instant now, WallTime wallNow);
@@ -290,6 +329,10 @@
     std::shared_ptr<const Policy> m_policy = std::make_shared<Policy>();
     std::map<base::JobId, Job> m_jobs;
     std::map<HostId, Host> m_hosts;
+    /** Sorted by id, without jobs that ended and have no members; rebuilt when `m_areActiveJobsCurrent` is false. */
+    std::vector<Job *> m_activeJobs;
+    bool m_areActiveJobsCurrent = true;
+    std::set<HostId> m_changedHosts;
     std::vector<Event> m_events;
     std::vector<JobTiming> m_timings;
 };
--- a/src/settings/reader.cpp
+++ b/src/settings/reader.cpp
@@ -1,5 +1,6 @@
 #include "settings/reader.h"
 
+#include <sstream>
 #include <utility>
 
 namespace plantainfork::settings
@@ -66,6 +67,27 @@
     return value->get();
 }
 
+std::optional<double> TableReader::number(std::string_view key, double lowest, double highest)
+{
+    const auto *node = find(key, Presence::Optional);
+    if (node == nullptr) {
+        return std::nullopt;
+    }
+    const auto place = placeOf(node->source());
+    const auto value = node->value<double>();
+    if (!node->is_number() || !value) {
+        report(place, key, "must be a number");
+        return std::nullopt;
+    }
+    if (*value < lowest || *value > highest) {
+        std::ostringstream range;
+        range << "must be from " << lowest << " to " << highest;
+        report(place, key, range.str());
+        return std::nullopt;
+    }
+    return value;
+}
+
 std::vector<PlacedText> TableReader::texts(std::string_view key)
 {
     std::vector<PlacedText> values;
--- a/src/settings/reader.h
+++ b/src/settings/reader.h
@@ -40,6 +40,8 @@
 
     std::optional<PlacedText> text(std::string_view key, Presence presence);
     std::optional<std::int64_t> integer(std::string_view key, Range range);
+    /** A whole number or a fraction. */
+    std::optional<double> number(std::string_view key, double lowest, double highest);
     /** Elements that aren't text are findings and left out. */
     std::vector<PlacedText> texts(std::string_view key);
     /** Nothing when there is none, or it isn't a table (a finding). */
--- a/tests/batch/planner_test.cpp
+++ b/tests/batch/planner_test.cpp
@@ -235,3 +235,24 @@
     fixture.addJob("goes", "patient", "rif", {near});
     REQUIRE(fixture.runRound().placements.size() == 1);
 }
+
+TEST_CASE("A task that fits nowhere doesn't keep smaller ones, or ones that may use other hosts, from starting")
+{
+    // Equal tasks that don't fit are tried once a round; the rule must not reach further than that.
+    WorkloadFixture fixture;
+    fixture.addHost("a", "r1-1");
+    fixture.addHost("b", "r1-1");
+    fixture.call("b").report.labels.insert("special");
+    fixture.sendReport("b");
+    auto special = WorkloadFixture::step(1, 8, 20s);
+    special.requiredLabel = "special";
+    fixture.addJob("first", "long", "rif", {special});
+    REQUIRE(fixture.runRound().placements.size() == 1);
+    fixture.addJob("again", "long", "rif", {special});
+    fixture.addJob("elsewhere", "long", "rif", {WorkloadFixture::step(1, 8, 60s)});
+    REQUIRE(fixture.runRound().placements.size() == 1);
+    fixture.addJob("large", "urgent", "rif", {WorkloadFixture::step(3, 9, 2s)});
+    fixture.reportEnd("a", WorkloadFixture::run("elsewhere", 0, 0, 1), batch::EndKind::Done);
+    fixture.addJob("small", "patient", "rif", {WorkloadFixture::step(2, 4, 1s)});
+    REQUIRE(fixture.runRound().placements.size() == 2);
+}
--- a/tests/batch/scheduler_test.cpp
+++ b/tests/batch/scheduler_test.cpp
@@ -66,8 +66,8 @@
         data->transact({write});
     }
 
-    /** Sends one sync call of the host's agent to the entry and returns the reply. */
-    batch::SyncReply sendSync(Entry &entry)
+    /** The next sync call of the host's agent. */
+    batch::SyncCall call()
     {
         batch::SyncCall call;
         call.host = batch::HostId("host");
@@ -78,7 +78,13 @@
         call.report.service = base::ServiceId("ledger");
         call.report.capacity = {64'000, 256'000, 8};
         call.listToken = token;
-        const auto reply = tests::runOn(context, entry.scheduler->sync(call));
+        return call;
+    }
+
+    /** Sends one sync call of the host's agent to the entry and returns the reply. */
+    batch::SyncReply sendSync(Entry &entry)
+    {
+        const auto reply = tests::runOn(context, entry.scheduler->sync(call()));
         REQUIRE(reply.ok());
         if (reply->isLeader) {
             token = reply->token;
@@ -174,3 +180,44 @@
     REQUIRE(secondReply.token > firstReply.token);
     fixture.stop();
 }
+
+TEST_CASE("An agent that has the current orders and entries is sent neither again")
+{
+    Fixture fixture;
+    auto &entry = fixture.addEntry("e1");
+    entry.scheduler->setEntries({{base::MemberId("e1"), {"e1", 7000}, 1.0}, {base::MemberId("e2"), {"e2", 7000}, 1.0}});
+    fixture.addJob("job");
+    const auto first = fixture.syncUntil(entry, [](const batch::SyncReply &received) {
+        return received.orders.runs.size() == 1;
+    });
+    REQUIRE(first.entries.size() == 2);
+    batch::SyncCall call = fixture.call();
+    call.ordersToken = first.token;
+    call.ordersVersion = first.orders.version;
+    call.entriesVersion = first.entriesVersion;
+    const auto next = tests::runOn(fixture.context, entry.scheduler->sync(call));
+    REQUIRE(next.ok());
+    REQUIRE(next->orders.version == first.orders.version);
+    REQUIRE(next->orders.runs.empty());
+    REQUIRE(next->entries.empty());
+    fixture.stop();
+}
+
+TEST_CASE("The call of an agent without an executor is held, not answered at once")
+{
+    // Before the executors announce themselves, or while they are down, agents would otherwise call as fast as the network allows.
+    Fixture fixture;
+    auto &entry = fixture.addEntry("e1");
+    fixture.syncUntil(entry, isFromLeader);
+    batch::SyncCall call = fixture.call();
+    call.host = batch::HostId("idle");
+    call.hasReport = false;
+    call.listToken = {};
+    call.wait = 300ms;
+    const auto begin = runtime::Clock::now();
+    const auto reply = tests::runOn(fixture.context, entry.scheduler->sync(call));
+    REQUIRE(reply.ok());
+    REQUIRE(reply->isLeader);
+    REQUIRE(runtime::Clock::now() - begin >= 300ms);
+    fixture.stop();
+}
--- a/tests/batch/settings_test.cpp
+++ b/tests/batch/settings_test.cpp
@@ -40,3 +40,20 @@
     REQUIRE(text.find("node.toml:12") != std::string::npos);
     REQUIRE(text.find("node.toml:13") != std::string::npos);
 }
+
+TEST_CASE("Factors and shares may be fractions; values out of range are findings")
+{
+    // A platform may give its bounds as fractions; an entry that refuses them doesn't start.
+    const auto parsed = batch::parseSettings(Valid + "remote_factor = 2.5\nprocessor_share = 0.12\n", "node.toml");
+    REQUIRE(std::holds_alternative<batch::Settings>(parsed));
+    REQUIRE(std::get<batch::Settings>(parsed).remoteFactor == Approx(2.5));
+    REQUIRE(std::get<batch::Settings>(parsed).processorShare == Approx(0.12));
+    const auto whole = batch::parseSettings(Valid + "remote_factor = 3\nprocessor_share = 1\n", "node.toml");
+    REQUIRE(std::holds_alternative<batch::Settings>(whole));
+    REQUIRE(std::get<batch::Settings>(whole).remoteFactor == Approx(3.0));
+    const auto wrong = batch::parseSettings(Valid + "remote_factor = 0.5\nprocessor_share = \"half\"\n", "node.toml");
+    REQUIRE(std::holds_alternative<base::Findings>(wrong));
+    const std::string text = std::get<base::Findings>(wrong).text();
+    REQUIRE(text.find("remote_factor must be from 1 to 100") != std::string::npos);
+    REQUIRE(text.find("processor_share must be a number") != std::string::npos);
+}
--- a/tests/batch/workload_test.cpp
+++ b/tests/batch/workload_test.cpp
@@ -150,7 +150,7 @@
     batch::SyncCall old = fixture.call("a");
     old.running.clear();
     old.sequence = 1;
-    REQUIRE_FALSE(fixture.workload.applySync(old, fixture.now, fixture.wallNow()));
+    REQUIRE(fixture.workload.applySync(old, fixture.now, fixture.wallNow()) == batch::SyncEffect::Outdated);
     REQUIRE(fixture.workload.ordersFor(host).stops.size() == 1);
 }
 
@@ -227,3 +227,92 @@
     fixture.advanceClock(1s);
     REQUIRE(fixture.runRound().placements.size() == 1);
 }
+
+TEST_CASE("A report of progress alone doesn't call for a round, but a change of runs does")
+{
+    // At hundreds of hosts, reports of progress come several hundred times a second, and a round for each of them saturates the leader.
+    WorkloadFixture fixture;
+    fixture.addHost("a", "r1-1");
+    fixture.addJob("job", "long", "rif", {WorkloadFixture::step(1, 1, 20s)});
+    fixture.runRound();
+    const auto apply = [&] {
+        ++fixture.call("a").sequence;
+        return fixture.workload.applySync(fixture.call("a"), fixture.now, fixture.wallNow());
+    };
+    fixture.call("a").running.push_back({WorkloadFixture::run("job", 0, 0, 1), "", 0});
+    REQUIRE(apply() == batch::SyncEffect::Changed);
+    fixture.call("a").running.front().percent = 10;
+    REQUIRE(apply() == batch::SyncEffect::Progress);
+    fixture.call("a").running.front().checkpoint = "saved";
+    REQUIRE(apply() == batch::SyncEffect::Progress);
+    fixture.call("a").running.clear();
+    fixture.call("a").ended.push_back({1, WorkloadFixture::run("job", 0, 0, 1), batch::EndKind::Done, ""});
+    REQUIRE(apply() == batch::SyncEffect::Changed);
+    REQUIRE(apply() == batch::SyncEffect::Progress);
+    fixture.call("a").report.isDraining = true;
+    REQUIRE(apply() == batch::SyncEffect::Changed);
+}
+
+TEST_CASE("A host that reports again after a silence calls for a round")
+{
+    WorkloadFixture fixture;
+    fixture.addHost("a", "r1-1");
+    fixture.silentHosts.insert("a");
+    fixture.advanceClock(5s);
+    ++fixture.call("a").sequence;
+    REQUIRE(fixture.workload.applySync(fixture.call("a"), fixture.now, fixture.wallNow()) == batch::SyncEffect::Changed);
+}
+
+TEST_CASE("Orders change only for the hosts that an event concerns")
+{
+    WorkloadFixture fixture;
+    for (const auto *host : {"a", "b", "c"}) {
+        fixture.addHost(host, "r1-1");
+    }
+    REQUIRE(fixture.workload.takeChangedHosts().size() == 3);
+    fixture.addJob("gang", "long", "rif", {WorkloadFixture::gang(2, 8, 20s)});
+    const auto placed = fixture.runRound().placements.at(0).hosts;
+    const std::set<batch::HostId> gangHosts(placed.begin(), placed.end());
+    REQUIRE(fixture.workload.takeChangedHosts() == gangHosts);
+    for (const auto &host : placed) {
+        fixture.reportOrdersRunning(host.value(), 5);
+    }
+    REQUIRE(fixture.workload.takeChangedHosts().empty());
+    SECTION("a member's failure concerns the whole gang")
+    {
+        fixture.reportEnd(placed[0].value(), WorkloadFixture::run("gang", 0, 0, 1), batch::EndKind::Failed);
+        REQUIRE(fixture.workload.takeChangedHosts() == gangHosts);
+        REQUIRE(fixture.workload.ordersFor(fixture.workload.hosts().at(placed[1])).stops.size() == 1);
+    }
+    SECTION("so does a member that is done, which ends the gang")
+    {
+        fixture.reportEnd(placed[0].value(), WorkloadFixture::run("gang", 0, 0, 1), batch::EndKind::Done);
+        REQUIRE(fixture.workload.takeChangedHosts() == gangHosts);
+        REQUIRE(fixture.workload.ordersFor(fixture.workload.hosts().at(placed[1])).runs.empty());
+    }
+    SECTION("a cancellation concerns the hosts of the job")
+    {
+        fixture.workload.cancelJob(base::JobId("gang"), fixture.wallNow());
+        REQUIRE(fixture.workload.takeChangedHosts() == gangHosts);
+    }
+    SECTION("a restarted executor is sent its orders again")
+    {
+        fixture.call("c").report.incarnation.born = 2;
+        fixture.sendReport("c");
+        REQUIRE(fixture.workload.takeChangedHosts() == std::set<batch::HostId>{batch::HostId("c")});
+    }
+}
+
+TEST_CASE("A forgotten job leaves nothing behind on hosts that have not confirmed its end")
+{
+    WorkloadFixture fixture;
+    fixture.addHost("a", "r1-1");
+    fixture.addJob("job", "long", "rif", {WorkloadFixture::step(2, 1, 20s)});
+    fixture.runRound();
+    fixture.workload.cancelJob(base::JobId("job"), fixture.wallNow());
+    fixture.workload.forgetJob(base::JobId("job"));
+    REQUIRE(fixture.workload.activeJobs().empty());
+    REQUIRE(fixture.workload.ordersFor(fixture.workload.hosts().at(batch::HostId("a"))).stops.empty());
+    fixture.advanceClock(20s);
+    REQUIRE(fixture.runRound().stops.empty());
+}
