batch: Let a gang spread over racks once a fleet with room has kept it waiting

A gang that fits into one rack when that is empty was placed in one rack only, and smaller units kept taking room on every rack; late gangs get no reservation.

Change: a unit knows since when it waits. After waiting for longer than the slower run on several racks costs, a gang spreads if at least half of the hosts' accelerators and of their cores are free. Ends that lose work say why and how much in the log.

Conclusion: no gang waits for a rack for good. Which smaller units took the racks was not traced.

--- a/src/batch/occupancy.cpp
+++ b/src/batch/occupancy.cpp
@@ -154,6 +154,17 @@
     return hosts;
 }
 
+bool Occupancy::isMostlyFree(const HostSet &hosts) const
+{
+    Resources free;
+    Resources capacity;
+    for (const auto index : hosts.all) {
+        free += m_hosts[index].free;
+        capacity += m_hosts[index].host->report.capacity;
+    }
+    return 2 * free.accelerators >= capacity.accelerators && 2 * free.millicores >= capacity.millicores;
+}
+
 unsigned Occupancy::remainingPerHost(const HostState &state, const Candidate &candidate)
 {
     const Step &step = candidate.ref.step();
--- a/src/batch/occupancy.h
+++ b/src/batch/occupancy.h
@@ -90,6 +90,8 @@
 
     /** Hosts that the candidate's tasks may run on, regardless of free resources. */
     [[nodiscard]] const HostSet &allowedHosts(const Candidate &candidate);
+    /** Whether at most half of the hosts' accelerators, and at most half of their cores, are in use. */
+    [[nodiscard]] bool isMostlyFree(const HostSet &hosts) const;
     /** How many more tasks of the candidate's step the host may get under Step::maxTasksPerHost. */
     [[nodiscard]] static unsigned remainingPerHost(const HostState &state, const Candidate &candidate);
     /** Subtracts from `free` all reservations that begin before `endsAt`: what a task that runs until then may use. */
--- a/src/batch/planner.cpp
+++ b/src/batch/planner.cpp
@@ -71,9 +71,30 @@
                 }
             }
         }
+        if (singleRack && hasWaitedTooLong(candidate) && m_occupancy.isMostlyFree(hosts)) {
+            if (auto fit = m_fitSearch.bestFit(candidate, hosts, CapacitySource::Free, false)) {
+                addPlacement(candidate, *fit);
+                return;
+            }
+        }
         reserve(candidate, hosts, singleRack);
     }
 
+    /** Extra time that the unit takes away from its data's rack, or as a gang that is spread over several racks. */
+    [[nodiscard]] Duration remoteLoss(const Candidate &candidate) const
+    {
+        return scaled(candidate.runTime, m_bounds.remoteFactor - 1.0);
+    }
+
+    /**
+     * Whether the unit has waited for longer than a run on several racks would have cost. Expected starts can't decide this: smaller units may
+     * take the room on every rack first, over and over again.
+     */
+    [[nodiscard]] bool hasWaitedTooLong(const Candidate &candidate) const
+    {
+        return m_now - candidate.ref.unit->waitingSince >= remoteLoss(candidate);
+    }
+
     /** Whether an earlier candidate of this round that needs no more on any host fitted nowhere. Free resources only shrink within a round. */
     [[nodiscard]] bool isKnownNotToFit(const Candidate &candidate)
     {
@@ -107,7 +128,7 @@
         if (step.dataRack.empty() || candidate.isGuaranteed || step.isGang || m_occupancy.hosts()[fit.hosts.front()].host->rack == step.dataRack) {
             return false;
         }
-        const Duration loss = scaled(candidate.runTime, m_bounds.remoteFactor - 1.0);
+        const Duration loss = remoteLoss(candidate);
         return std::any_of(hosts.all.begin(), hosts.all.end(), [&](std::size_t index) {
             const HostState &state = m_occupancy.hosts()[index];
             if (state.host->rack != step.dataRack) {
--- a/src/batch/workload.cpp
+++ b/src/batch/workload.cpp
@@ -1,6 +1,7 @@
 #include "batch/workload.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace plantainfork::batch
@@ -39,6 +40,18 @@
     return "unknown";
 }
 
+/** Core-equivalent seconds of a member's work that are not in its unit's checkpoint, by the caller's estimate. */
+double unsavedWork(const Job &job, const Unit &unit, const Member &member)
+{
+    const double percent = static_cast<double>(std::max(member.percent, unit.savedPercent) - unit.savedPercent);
+    return percent / WholePercent * toSeconds(job.stepOf(unit).estimate) * coreEquivalents(job.stepOf(unit).need);
+}
+
+std::string rounded(double value)
+{
+    return std::to_string(std::llround(value));
+}
+
 /** Whether any member of the unit has not ended. */
 bool hasActiveMembers(const Unit &unit)
 {
@@ -216,6 +229,7 @@
                 unit.occurrence = occurrence;
                 unit.step = step;
                 unit.index = index;
+                unit.waitingSince = job.spec.occurrences == 0 ? job.acceptedAt : std::max(job.acceptedAt, now + (job.dueAt(occurrence) - wallNow));
                 job.units.push_back(std::move(unit));
             }
         }
@@ -547,13 +561,13 @@
         if (const auto found = findMember(ended.run, host.id)) {
             endMember(*found->first.job, *found->first.unit, found->second, ended.kind, ended.checkpoint, now, wallNow);
         } else {
-            applyLateEnd(ended, wallNow);
+            applyLateEnd(ended, now, wallNow);
         }
     }
     return isChanged;
 }
 
-void Workload::applyLateEnd(const Ended &ended, WallTime wallNow)
+void Workload::applyLateEnd(const Ended &ended, Instant now, WallTime wallNow)
 {
     const auto job = m_jobs.find(ended.run.task.job);
     Unit *unit = job != m_jobs.end() ? job->second.unit(ended.run.task) : nullptr;
@@ -571,13 +585,28 @@
     job->second.isDirty = true;
     if (ended.kind == EndKind::Done) {
         stop({&job->second, unit}, StopReason::Superseded);
-        job->second.setPhase(*unit, UnitPhase::Done);
+        markDone(job->second, *unit, now);
         finishJobIfDone(job->second, wallNow);
     } else if (hasReachedFailureLimit(job->second, *unit)) {
         endJob(job->second, JobStatus::Failed, wallNow);
     }
 }
 
+void Workload::markDone(Job &job, Unit &unit, Instant now)
+{
+    job.setPhase(unit, UnitPhase::Done);
+    if (!job.isStepDone(unit.occurrence, unit.step)) {
+        return;
+    }
+    for (auto &other : job.units) {
+        const auto &dependencies = job.stepOf(other).dependsOn;
+        const bool isReleased = other.occurrence == unit.occurrence && std::find(dependencies.begin(), dependencies.end(), unit.step) != dependencies.end();
+        if (isReleased && other.phase == UnitPhase::Waiting) {
+            other.waitingSince = now;
+        }
+    }
+}
+
 bool Workload::hasReachedFailureLimit(const Job &job, const Unit &unit) const
 {
     return unit.failures.size() >= queueOf(job).maxFailures && !job.stepOf(unit).isLongRunning;
@@ -679,12 +708,14 @@
          {"attempt", std::to_string(unit.attempt.value())},
          {"host", member.host.value()},
          {"how", std::string(endKindText(kind))},
+         {"why", std::string(stopReasonText(unit.stopReason))},
+         {"lost_core_s", kind == EndKind::Done ? "0" : rounded(unsavedWork(job, unit, member))},
          {"ran_ms", std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(now - member.startedAt).count())}});
     const bool isLongRunningStep = job.stepOf(unit).isLongRunning;
     if (kind == EndKind::Done) {
         hostFor(member.host).consecutiveFailures = 0;
         if (!isLongRunningStep) {
-            job.setPhase(unit, UnitPhase::Done);
+            markDone(job, unit, now);
         }
     }
     if (kind == EndKind::Failed) {
@@ -710,7 +741,7 @@
     }
 }
 
-void Workload::updateUnitAfterEnd(Job &job, Unit &unit, Instant, WallTime wallNow)
+void Workload::updateUnitAfterEnd(Job &job, Unit &unit, Instant now, WallTime wallNow)
 {
     if (unit.phase == UnitPhase::Placed && hasActiveMembers(unit)) {
         stop({&job, &unit}, StopReason::GangBroken);
@@ -726,6 +757,7 @@
     }
     clearMembers(job, unit);
     unit.stopReason = StopReason::None;
+    unit.waitingSince = now;
     job.setPhase(unit, UnitPhase::Waiting);
     if (!job.stepOf(unit).hasCheckpoints) {
         unit.savedPercent = 0;
--- a/src/batch/workload.h
+++ b/src/batch/workload.h
@@ -83,6 +83,8 @@
     Attempt attempt;
     /** Attempts that failed. A set, so that an end that is reported repeatedly counts once. */
     std::set<Attempt> failures;
+    /** Since when the unit could have been running: its job's acceptance, the end of the steps it depends on, or the end of its last attempt. */
+    Instant waitingSince;
     std::string checkpoint;
     /** Known progress at the checkpoint, in percent. It is not recorded, so it is 0 after a change of leader. */
     std::uint32_t savedPercent = 0;
@@ -315,9 +317,11 @@
     /** Once a member has ended: stops the rest of its gang, finishes the unit, or returns it to waiting. */
     void updateUnitAfterEnd(Job &job, Unit &unit, Instant now, WallTime wallNow);
     /** Applies the end of an attempt that is no longer current because its run was considered lost. */
-    void applyLateEnd(const Ended &ended, WallTime wallNow);
+    void applyLateEnd(const Ended &ended, Instant now, WallTime wallNow);
     [[nodiscard]] bool hasReachedFailureLimit(const Job &job, const Unit &unit) const;
     void countFailure(Job &job, Unit &unit, const Member &member, Instant now);
+    /** Marks the unit as done; steps that depend on its step alone begin to wait for a place. */
+    void markDone(Job &job, Unit &unit, Instant now);
     void endJob(Job &job, JobStatus status, WallTime wallNow);
     void finishJobIfDone(Job &job, WallTime wallNow);
     /** The unit and member index of a run on a host, if its attempt is the current one. */
--- a/tests/batch/planner_test.cpp
+++ b/tests/batch/planner_test.cpp
@@ -256,3 +256,35 @@
     fixture.addJob("small", "patient", "rif", {WorkloadFixture::step(2, 4, 1s)});
     REQUIRE(fixture.runRound().placements.size() == 2);
 }
+
+TEST_CASE("A gang that prefers one rack spreads over a fleet with room once it has waited for longer than the slower run costs")
+{
+    // On a large fleet, smaller units kept taking room on every rack; an urgent gang of whole hosts then waited until the end of the day
+    // while more than half of the fleet was free.
+    WorkloadFixture fixture;
+    for (const auto *host : {"a1", "a2", "a3"}) {
+        fixture.addHost(host, "r1-1");
+    }
+    for (const auto *host : {"b1", "b2", "b3"}) {
+        fixture.addHost(host, "r1-2");
+    }
+    auto pinned = WorkloadFixture::step(1, 8, 60s);
+    pinned.dataRack = "r1-1";
+    fixture.addJob("first", "long", "rif", {pinned});
+    pinned.dataRack = "r1-2";
+    fixture.addJob("second", "long", "rif", {pinned});
+    REQUIRE(fixture.runRound().placements.size() == 2);
+    auto gang = WorkloadFixture::gang(3, 8, 5s);
+    gang.prefersSingleRack = true;
+    fixture.addJob("gang", "long", "rif", {gang});
+    const auto waitFor = [&](int seconds) {
+        for (int second = 0; second < seconds; ++second) {
+            fixture.advanceClock(1s);
+        }
+    };
+    REQUIRE(fixture.runRound().placements.empty());
+    waitFor(9);
+    REQUIRE(fixture.runRound().placements.empty());
+    waitFor(1);
+    REQUIRE(fixture.runRound().placements.size() == 1);
+}
