batch: End a start's deadline with the grant

Cause: an executor takes the deadline of a start as the end of its lease if that is later. The agent gave each start 1.5 s, also when less of the leader's grant was left; the leader waits for the grant and 0.7 s before it starts the task elsewhere. A run could so outlive the permission by 0.8 s. Found by reading; the new test failed with 800 ms too much.

Change: the deadline is the earlier of the two. The agent has a fixture with a scripted executor and leader; further tests show that an agent paused past its grant starts nothing, that a superseded leader is ignored, and that a lost answer starts nothing anew.

--- a/src/batch/agent.h
+++ b/src/batch/agent.h
@@ -395,6 +395,13 @@
         return m_clock + std::chrono::duration_cast<std::chrono::milliseconds>(runtime::Clock::now() - m_clockAt);
     }
 
+    /** The executor takes a start's deadline as the end of its lease if that is later, so it must not be later than the grant. */
+    [[nodiscard]] ExecutorTime startDeadline() const
+    {
+        const auto granted = std::chrono::duration_cast<std::chrono::milliseconds>(m_grantUntil - runtime::Clock::now());
+        return executorNow() + std::min(granted, StartLifetime);
+    }
+
     asio::awaitable<void> startRun([[maybe_unused]] std::shared_ptr<Agent> self, RunId run, HostIncarnation incarnation)
     {
         const auto begin = runtime::Clock::now();
@@ -409,7 +416,7 @@
                 break;
             }
             const RunOrder order = found->second;
-            const auto result = co_await m_port.start(order, incarnation, m_token, executorNow() + StartLifetime, runtime::Clock::now() + OrderTimeout);
+            const auto result = co_await m_port.start(order, incarnation, m_token, startDeadline(), runtime::Clock::now() + OrderTimeout);
             if (result.outcome == StartOutcome::Started) {
                 m_starts.add();
                 m_startSeconds.record(runtime::Clock::now() - begin);
--- /dev/null
+++ b/tests/batch/agent_fixture.h
@@ -0,0 +1,161 @@
+/** Fixture for tests of the agent: an executor and a leader that are scripted by the test; the agent and its calls are real. */
+#pragma once
+
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <utility>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+#include <catch2/catch.hpp>
+
+#include "batch/agent.h"
+#include "rpc/server.h"
+#include "support/run.h"
+
+namespace plantainfork::tests
+{
+
+using namespace std::chrono_literals;
+
+/** An executor that records its calls and runs what it is told to start. */
+class FakeExecutor
+{
+public:
+    struct Start {
+        batch::RunId run;
+        base::FencingToken token;
+        batch::ExecutorTime until{0};
+        /** The executor's clock at the call. */
+        batch::ExecutorTime at{0};
+    };
+
+    boost::asio::awaitable<batch::StartResult>
+    start(batch::RunOrder order, batch::HostIncarnation, base::FencingToken token, batch::ExecutorTime until, runtime::Instant)
+    {
+        starts.push_back({order.run, token, until, clock()});
+        if (std::exchange(isNextAnswerLost, false)) {
+            listing.running.push_back({order.run, "", 0});
+            co_return batch::StartResult{batch::StartOutcome::Unknown, "answer lost"};
+        }
+        listing.running.push_back({order.run, "", 0});
+        co_return batch::StartResult{batch::StartOutcome::Started, ""};
+    }
+
+    boost::asio::awaitable<absl::Status> stop(batch::RunId run, batch::HostIncarnation, base::FencingToken, runtime::Instant)
+    {
+        stops.push_back(run);
+        co_return absl::OkStatus();
+    }
+
+    boost::asio::awaitable<absl::StatusOr<batch::Listing>> hold(batch::HoldRequest request, runtime::Instant)
+    {
+        holds.push_back(request);
+        co_await runtime::sleepFor(holds.size() == 1 ? firstAnswerDelay : std::min<std::chrono::milliseconds>(request.wait, 50ms));
+        listing.clock = clock();
+        co_return listing;
+    }
+
+    [[nodiscard]] batch::ExecutorTime clock() const
+    {
+        return std::chrono::duration_cast<batch::ExecutorTime>(runtime::Clock::now() - m_begin) + 1h;
+    }
+
+    std::vector<Start> starts;
+    std::vector<batch::RunId> stops;
+    std::vector<batch::HoldRequest> holds;
+    batch::Listing listing;
+    bool isNextAnswerLost = false;
+    /** As if the agent's process were paused between its first call and the answer. */
+    std::chrono::milliseconds firstAnswerDelay{0};
+
+private:
+    runtime::Instant m_begin = runtime::Clock::now();
+};
+
+/** An agent with its executor, and a leader whose replies the test gives. */
+class AgentFixture
+{
+public:
+    using Leader = std::function<absl::StatusOr<batch::SyncReply>(const batch::SyncCall &)>;
+
+    explicit AgentFixture(Leader leader)
+        : m_leader(std::move(leader))
+    {
+        auto created = rpc::Server::create(context.get_executor(), "127.0.0.1", 0, {});
+        REQUIRE(created.ok());
+        m_server = std::move(*created);
+        rpc::handleCall<batch::SyncCall>(*m_server, [this](batch::SyncCall call) -> boost::asio::awaitable<absl::StatusOr<batch::SyncReply>> {
+            calls.push_back(call);
+            // The leader holds calls; without a delay the agent would call without a pause.
+            co_await runtime::sleepFor(5ms);
+            co_return m_leader(call);
+        });
+        m_server->start();
+        m_settings.id = base::MemberId("side-1");
+        m_settings.entries = {{"127.0.0.1", m_server->port()}};
+        m_agent = std::make_shared<batch::Agent<FakeExecutor>>(
+            context.get_executor(),
+            m_settings,
+            executor,
+            m_channels,
+            []() -> boost::asio::awaitable<wire::Address> {
+                co_return wire::Address();
+            },
+            m_metrics);
+        batch::HostReport report;
+        report.incarnation = {"i-1", 1};
+        report.capacity = {64'000, 256'000, 8};
+        m_agent->handleHostReport(std::move(report));
+        m_agent->start();
+    }
+
+    void runFor(std::chrono::milliseconds time)
+    {
+        runOn(context, runtime::sleepFor(time));
+    }
+
+    /** Runs until the condition holds; fails after a time that is ample on a busy machine. */
+    template<typename Condition>
+    void runUntil(Condition condition)
+    {
+        const auto deadline = runtime::Clock::now() + 30s;
+        while (!condition()) {
+            REQUIRE(runtime::Clock::now() < deadline);
+            runFor(2ms);
+        }
+    }
+
+    /** A leader's reply with one run to execute. */
+    static batch::SyncReply order(const batch::RunId &run, std::uint64_t token, std::uint64_t version, std::chrono::milliseconds grant)
+    {
+        batch::SyncReply reply;
+        reply.isLeader = true;
+        reply.token = base::FencingToken(token);
+        reply.grant = grant;
+        reply.orders.version = version;
+        reply.orders.incarnation = {"i-1", 1};
+        reply.orders.runs.push_back({run, "payload", ""});
+        return reply;
+    }
+
+    static batch::RunId run(const std::string &job, std::uint64_t attempt)
+    {
+        return {{base::JobId(job), 0, 0, 0}, batch::Attempt(attempt)};
+    }
+
+    boost::asio::io_context context;
+    FakeExecutor executor;
+    std::vector<batch::SyncCall> calls;
+
+private:
+    Leader m_leader;
+    batch::Settings m_settings;
+    metrics::Registry m_metrics;
+    rpc::ChannelPool m_channels{context.get_executor(), {}};
+    std::unique_ptr<rpc::Server> m_server;
+    std::shared_ptr<batch::Agent<FakeExecutor>> m_agent;
+};
+
+} // namespace plantainfork::tests
--- a/tests/batch/agent_test.cpp
+++ b/tests/batch/agent_test.cpp
@@ -1,9 +1,11 @@
-/** Acknowledgement of ended runs to the executor. */
+/** What the agent lets its executor do, and when: grants, fencing, lost answers and the acknowledgement of ended runs. */
 #include <catch2/catch.hpp>
 
-#include "batch/executor_port.h"
+#include "batch/agent_fixture.h"
 
 using namespace plantainfork;
+using namespace std::chrono_literals;
+using tests::AgentFixture;
 
 TEST_CASE("Ended runs are acknowledged only while they are listed, so that a restarted executor drops no unreported ones")
 {
@@ -15,3 +17,72 @@
     REQUIRE(batch::acknowledgement({second}, 11) == 0);
     REQUIRE(batch::acknowledgement({}, 12) == 0);
 }
+
+TEST_CASE("A start lets the executor run no longer than the leader's grant")
+{
+    // A start's deadline prolongs the executor's lease. Beyond the grant, the leader may have given the task to another host.
+    constexpr auto Grant = 700ms;
+    AgentFixture fixture([](const batch::SyncCall &) {
+        return AgentFixture::order(AgentFixture::run("job", 1), 3, 1, Grant);
+    });
+    fixture.runUntil([&] {
+        return !fixture.executor.starts.empty();
+    });
+    const auto &start = fixture.executor.starts.front();
+    REQUIRE(start.token.value() == 3);
+    REQUIRE(start.until <= start.at + Grant);
+    for (const auto &hold : fixture.executor.holds) {
+        REQUIRE(hold.until <= fixture.executor.clock() + Grant);
+    }
+}
+
+TEST_CASE("An agent that was paused until its grant had run out starts nothing")
+{
+    bool isFirstCall = true;
+    AgentFixture fixture([&](const batch::SyncCall &) -> absl::StatusOr<batch::SyncReply> {
+        if (!std::exchange(isFirstCall, false)) {
+            return absl::UnavailableError("leader gone");
+        }
+        return AgentFixture::order(AgentFixture::run("job", 1), 3, 1, 300ms);
+    });
+    fixture.executor.firstAnswerDelay = 900ms;
+    fixture.runUntil([&] {
+        return fixture.executor.holds.size() >= 3;
+    });
+    REQUIRE(fixture.executor.starts.empty());
+}
+
+TEST_CASE("Orders of a superseded leader are ignored")
+{
+    bool isNewLeaderHeard = false;
+    AgentFixture fixture([&](const batch::SyncCall &) {
+        if (!std::exchange(isNewLeaderHeard, true)) {
+            return AgentFixture::order(AgentFixture::run("new", 1), 9, 1, 5s);
+        }
+        return AgentFixture::order(AgentFixture::run("old", 1), 8, 50, 5s);
+    });
+    fixture.runUntil([&] {
+        return fixture.calls.size() >= 6 && !fixture.executor.starts.empty();
+    });
+    for (const auto &start : fixture.executor.starts) {
+        REQUIRE(start.run.task.job.value() == "new");
+        REQUIRE(start.token.value() == 9);
+    }
+}
+
+TEST_CASE("After a lost answer the run that the executor lists is not started again")
+{
+    AgentFixture fixture([](const batch::SyncCall &) {
+        return AgentFixture::order(AgentFixture::run("job", 1), 3, 1, 5s);
+    });
+    fixture.executor.isNextAnswerLost = true;
+    fixture.runUntil([&] {
+        return !fixture.calls.empty() && !fixture.calls.back().running.empty();
+    });
+    const auto started = fixture.executor.starts.size();
+    fixture.runFor(300ms);
+    REQUIRE(fixture.executor.starts.size() == started);
+    for (const auto &start : fixture.executor.starts) {
+        REQUIRE(start.run == AgentFixture::run("job", 1));
+    }
+}
