batch: Skip job records that can't be used

Cause: the steps of a job are checked when it is handed in, but not when a leader reads its record. A record of another version, with a step that depends on one that doesn't exist, ended the leader by a segmentation fault (the new test, before the change), and then the next one.

Change: the check stands beside the job's shape and is made at both places; a record that fails it is logged and skipped.

--- a/src/batch/job_feed.h
+++ b/src/batch/job_feed.h
@@ -127,6 +127,12 @@
             log::write(log::Severity::Error, "job record unreadable", {{"job", id.value()}, {"reason", std::string(spec.status().message())}});
             return;
         }
+        // A record that some other version wrote must not end this process, and the next leader's, and so on.
+        const std::string error = spec->id == id ? findStepsError(spec->steps, spec->occurrences) : "record of another job";
+        if (!error.empty()) {
+            log::write(log::Severity::Error, "job record not usable", {{"job", id.value()}, {"reason", error}});
+            return;
+        }
         const auto state = term.pendingStates.extract(id);
         term.workload.addJob(std::move(*spec), state ? std::optional(state.mapped()) : std::nullopt, runtime::Clock::now(), wallNow());
     }
--- a/src/batch/job_shape.h
+++ b/src/batch/job_shape.h
@@ -4,6 +4,8 @@
  */
 #pragma once
 
+#include <cstdint>
+#include <string>
 #include <vector>
 
 #include "batch/model.h"
@@ -29,7 +31,9 @@
     std::int64_t peakAccelerators = 0;
 };
 
-/** A step depends on earlier steps only. */
+/** What is wrong with the steps of a job, as a text for its caller or for the log; empty if nothing is. */
+[[nodiscard]] std::string findStepsError(const std::vector<Step> &steps, std::uint32_t occurrences);
+/** The steps must have no error. */
 [[nodiscard]] JobShape shapeOf(const std::vector<Step> &steps);
 
 } // namespace plantainfork::batch
--- a/tests/batch/scheduler_test.cpp
+++ b/tests/batch/scheduler_test.cpp
@@ -221,3 +221,35 @@
     REQUIRE(runtime::Clock::now() - begin >= 300ms);
     fixture.stop();
 }
+
+TEST_CASE("A leader skips job records that it can't use and serves the other jobs")
+{
+    // The same record would otherwise end one leader after the other.
+    Fixture fixture;
+    batch::JobSpec spec;
+    spec.queue = batch::QueueId("q");
+    spec.service = base::ServiceId("ledger");
+    spec.steps.emplace_back();
+    const auto writeSpec = [&](const std::string &id) {
+        spec.id = base::JobId(id);
+        store::Write write;
+        write.key = batch::keys::job(spec.id, batch::keys::JobPart::Spec);
+        write.value = wire::encode(spec);
+        fixture.data->transact({write});
+    };
+    spec.steps.back().dependsOn = {4'000'000'000U};
+    writeSpec("depends-on-nothing");
+    spec.steps.back().dependsOn.clear();
+    spec.steps.back().tasks = 0;
+    writeSpec("no-tasks");
+    spec.steps.clear();
+    writeSpec("no-steps");
+    fixture.addJob("job");
+    auto &entry = fixture.addEntry("e1");
+    const auto reply = fixture.syncUntil(entry, [](const batch::SyncReply &received) {
+        return !received.orders.runs.empty();
+    });
+    REQUIRE(reply.orders.runs.size() == 1);
+    REQUIRE(reply.orders.runs.front().run.task.job.value() == "job");
+    fixture.stop();
+}
