--- a/src/batch/workload.h
+++ b/src/batch/workload.h
@@ -71,6 +71,9 @@
 };
 
 [[nodiscard]] std::string_view statusText(JobStatus status);
+[[nodiscard]] std::string_view endKindText(EndKind kind);
+/** Number of units that the step has in one occurrence. */
+[[nodiscard]] std::uint32_t unitCount(const Step &step);
 /** The rack among a host's labels: the first label with a hyphen, otherwise the last label. Empty if the host has no labels. */
 [[nodiscard]] std::string rackOf(const HostReport &report);
 [[nodiscard]] std::string_view stopReasonText(StopReason reason);
--- /dev/null
+++ b/src/batch/workload_reports.cpp
@@ -0,0 +1,237 @@
+/**
+ * Applies what the agents report to the workload: what hosts offer, what runs and what has ended on them, and what their silence or a restart
+ * means for their runs.
+ */
+#include <algorithm>
+#include <utility>
+
+#include "batch/workload.h"
+
+namespace plantainfork::batch
+{
+
+SyncEffect Workload::applySync(const SyncCall &call, Instant now, WallTime wallNow)
+{
+    Host &host = hostFor(call.host);
+    if (host.lastHeardAt == Instant()) {
+        log("host heard", {{"host", call.host.value()}});
+    }
+    const bool isOutdated = call.agentIncarnation < host.agentIncarnation || (call.agentIncarnation == host.agentIncarnation && call.sequence <= host.sequence);
+    if (isOutdated) {
+        return SyncEffect::Outdated;
+    }
+    // A host that was out of contact offers its resources again.
+    bool isChanged = !isReachable(host, now);
+    host.agentIncarnation = call.agentIncarnation;
+    host.sequence = call.sequence;
+    host.lastHeardAt = now;
+    if (!call.hasReport) {
+        return SyncEffect::Progress;
+    }
+    isChanged = applyReport(host, call, now, wallNow) || isChanged;
+    if (call.listToken != m_token) {
+        return isChanged ? SyncEffect::Changed : SyncEffect::Progress;
+    }
+    if (!host.isListed) {
+        host.isListed = true;
+        log("host listed", {{"host", call.host.value()}, {"running", std::to_string(call.running.size())}, {"ended", std::to_string(call.ended.size())}});
+    }
+    isChanged = applyRunningRuns(host, call, now) || isChanged;
+    isChanged = applyEndedRuns(host, call, now, wallNow) || isChanged;
+    isChanged = applyBarredRuns(host, call, now, wallNow) || isChanged;
+    return isChanged ? SyncEffect::Changed : SyncEffect::Progress;
+}
+
+bool Workload::applyReport(Host &host, const SyncCall &call, Instant now, WallTime wallNow)
+{
+    const bool isNew = !host.hasReport || host.report.incarnation != call.report.incarnation;
+    if (host.hasReport && host.report.isDraining != call.report.isDraining) {
+        log("host draining",
+            {{"host", host.id.value()},
+             {"is_draining", call.report.isDraining ? "true" : "false"},
+             {"remaining_ms", std::to_string(call.report.remaining.count())}});
+    }
+    const bool hasJustLeft = call.report.hasLeft && (isNew || !host.report.hasLeft);
+    const bool isChanged = isNew || hasJustLeft || host.report.isDraining != call.report.isDraining || host.report.capacity != call.report.capacity
+        || host.report.labels != call.report.labels;
+    host.report = call.report;
+    if (isChanged) {
+        host.rack = rackOf(host.report);
+        m_changedHosts.insert(host.id);
+    }
+    host.hasReport = true;
+    host.leftAt = hasJustLeft ? now : call.report.hasLeft ? host.leftAt : Instant();
+    host.drainDeadline = now + call.report.remaining;
+    if (isNew) {
+        host.isListed = false;
+        host.processedEnds = 0;
+        host.unexpectedRuns.clear();
+        host.consecutiveFailures = 0;
+        host.suspendedUntil = Instant();
+        resolveRestartedExecutor(host, now, wallNow);
+    }
+    return isChanged;
+}
+
+bool Workload::applyRunningRuns(Host &host, const SyncCall &call, Instant now)
+{
+    bool isChanged = false;
+    std::set<RunId> unexpectedRuns;
+    for (const auto &running : call.running) {
+        const auto found = findMember(running.run, host.id);
+        if (!found || found->first.unit->members[found->second].phase == MemberPhase::Ended) {
+            unexpectedRuns.insert(running.run);
+            continue;
+        }
+        Unit &unit = *found->first.unit;
+        Member &member = unit.members[found->second];
+        if (member.phase == MemberPhase::Ordered) {
+            isChanged = true;
+            member.phase = MemberPhase::Running;
+            member.startedAt = member.progressedAt = now;
+            member.percent = member.firstPercent = running.percent;
+        }
+        if (running.percent != member.percent) {
+            member.percent = running.percent;
+            member.progressedAt = now;
+        }
+        if (!running.checkpoint.empty() && running.checkpoint != unit.checkpoint) {
+            unit.checkpoint = running.checkpoint;
+            unit.savedPercent = running.percent;
+            found->first.job->hasNewCheckpoint = true;
+        }
+    }
+    for (const auto &run : unexpectedRuns) {
+        if (!host.unexpectedRuns.contains(run)) {
+            log("run unknown, to be stopped", {{"job", run.task.job.value()}, {"task", run.task.text()}, {"host", host.id.value()}});
+        }
+    }
+    if (host.unexpectedRuns != unexpectedRuns) {
+        isChanged = true;
+        host.unexpectedRuns = std::move(unexpectedRuns);
+        m_changedHosts.insert(host.id);
+    }
+    return isChanged;
+}
+
+bool Workload::applyEndedRuns(Host &host, const SyncCall &call, Instant now, WallTime wallNow)
+{
+    bool isChanged = false;
+    for (const auto &ended : call.ended) {
+        if (ended.number <= host.processedEnds) {
+            continue;
+        }
+        host.processedEnds = ended.number;
+        m_changedHosts.insert(host.id);
+        isChanged = true;
+        if (const auto found = findMember(ended.run, host.id)) {
+            endMember(*found->first.job, *found->first.unit, found->second, ended.kind, ended.checkpoint, now, wallNow);
+        } else {
+            applyLateEnd(ended, now, wallNow);
+        }
+    }
+    return isChanged;
+}
+
+void Workload::applyLateEnd(const Ended &ended, Instant now, WallTime wallNow)
+{
+    const auto job = m_jobs.find(ended.run.task.job);
+    Unit *unit = job != m_jobs.end() ? job->second.unit(ended.run.task) : nullptr;
+    if (unit == nullptr || unit->phase == UnitPhase::Done || isEnded(job->second.status) || job->second.stepOf(*unit).isLongRunning) {
+        return;
+    }
+    if (ended.kind != EndKind::Done && (ended.kind != EndKind::Failed || !unit->failures.insert(ended.run.attempt).second)) {
+        return;
+    }
+    log("late end counted",
+        {{"job", job->first.value()},
+         {"task", ended.run.task.text()},
+         {"attempt", std::to_string(ended.run.attempt.value())},
+         {"how", std::string(endKindText(ended.kind))}});
+    job->second.isDirty = true;
+    if (ended.kind == EndKind::Done) {
+        stop({&job->second, unit}, StopReason::Superseded);
+        markDone(job->second, *unit, now);
+        finishJobIfDone(job->second, wallNow);
+    } else if (hasReachedFailureLimit(job->second, *unit)) {
+        endJob(job->second, JobStatus::Failed, wallNow);
+    }
+}
+
+bool Workload::applyBarredRuns(Host &host, const SyncCall &call, Instant now, WallTime wallNow)
+{
+    bool isChanged = false;
+    for (const auto &run : call.barred) {
+        const auto found = findMember(run, host.id);
+        if (found && found->first.unit->members[found->second].phase != MemberPhase::Ended) {
+            isChanged = true;
+            endMember(*found->first.job, *found->first.unit, found->second, EndKind::Refused, "", now, wallNow);
+        }
+    }
+    return isChanged;
+}
+
+void Workload::resolveRestartedExecutor(const Host &host, Instant now, WallTime wallNow)
+{
+    const HostIncarnation &present = host.report.incarnation;
+    const auto units = host.units;
+    for (const auto &[job, unit] : units) {
+        for (std::size_t i = 0; i < unit->members.size(); ++i) {
+            Member &member = unit->members[i];
+            if (member.host != host.id || member.phase == MemberPhase::Ended || member.incarnation == present) {
+                continue;
+            }
+            // Executors are addressed by id alone, so the new incarnation may receive an order that no incarnation has listed yet.
+            const bool mayHaveReceivedOrder =
+                member.phase == MemberPhase::Ordered && member.incarnation.instance == present.instance && unit->phase == UnitPhase::Placed;
+            if (mayHaveReceivedOrder) {
+                member.incarnation = present;
+                stop({job, unit}, StopReason::HostRestarted);
+            } else {
+                markMemberLost(*job, *unit, i, now, wallNow, "executor restarted");
+            }
+        }
+    }
+}
+
+void Workload::markMemberLost(Job &job, Unit &unit, std::size_t member, Instant now, WallTime wallNow, std::string_view why)
+{
+    log("run lost",
+        {{"job", job.spec.id.value()}, {"task", job.taskOf(unit, member).text()}, {"host", unit.members[member].host.value()}, {"why", std::string(why)}});
+    endMember(job, unit, member, EndKind::Lost, "", now, wallNow);
+}
+
+void Workload::markMembersLost(Host &host, Instant now, WallTime wallNow, std::string_view why)
+{
+    const auto units = host.units;
+    for (const auto &[job, unit] : units) {
+        for (std::size_t i = 0; i < unit->members.size(); ++i) {
+            if (unit->members[i].host == host.id && unit->members[i].phase != MemberPhase::Ended) {
+                markMemberLost(*job, *unit, i, now, wallNow, why);
+            }
+        }
+    }
+}
+
+void Workload::expireSilentHosts(Instant now, WallTime wallNow)
+{
+    const auto limit = m_bounds.maxGrant + m_bounds.grantMargin;
+    for (auto &[id, host] : m_hosts) {
+        const bool isSilent = now - std::max(host.lastHeardAt, m_termStart) > limit;
+        const bool hasLeft = host.report.hasLeft && now - host.leftAt > m_bounds.departureMargin;
+        if (!isSilent && !hasLeft) {
+            continue;
+        }
+        const bool hasExpiredRuns = std::any_of(host.units.begin(), host.units.end(), [&](const UnitRef &ref) {
+            return std::any_of(ref.unit->members.begin(), ref.unit->members.end(), [&](const Member &member) {
+                return member.host == host.id && member.phase != MemberPhase::Ended && (isSilent || member.incarnation == host.report.incarnation);
+            });
+        });
+        if (hasExpiredRuns) {
+            markMembersLost(host, now, wallNow, "host left, or silent for longer than its grant");
+            host.isListed = false;
+        }
+    }
+}
+
+} // namespace plantainfork::batch
