batch: Begin a loop again after an unexpected error

Cause: loops and orders of agents and entries were detached coroutines. An exception that nobody expected ended one without a line in the log, and left a process that looked alive but renewed no lease, read no policy or started a run never again.

A start or stop that fails this way is tried again with the next listing.

--- a/src/batch/agent.h
+++ b/src/batch/agent.h
@@ -19,6 +19,7 @@
 #include <boost/asio/detached.hpp>
 
 #include "batch/executor_port.h"
+#include "batch/loop.h"
 #include "batch/messages.h"
 #include "batch/settings.h"
 #include "log/log.h"
@@ -65,10 +66,18 @@
     void start()
     {
         const auto self = this->shared_from_this();
-        asio::co_spawn(m_executor, pollLeader(self), asio::detached);
-        asio::co_spawn(m_executor, reportChanges(self), asio::detached);
-        asio::co_spawn(m_executor, renewExecutorLease(self), asio::detached);
-        asio::co_spawn(m_executor, askEntriesForLeader(self), asio::detached);
+        spawnLoop(m_executor, "poll leader", [self] {
+            return self->pollLeader(self);
+        });
+        spawnLoop(m_executor, "report changes", [self] {
+            return self->reportChanges(self);
+        });
+        spawnLoop(m_executor, "renew executor lease", [self] {
+            return self->renewExecutorLease(self);
+        });
+        spawnLoop(m_executor, "ask entries for leader", [self] {
+            return self->askEntriesForLeader(self);
+        });
     }
 
     /** Handles a report of the executor. The caller must drop outdated reports of the same incarnation. */
@@ -375,15 +384,31 @@
     void startIfNeeded(const RunId &run)
     {
         if (!isListed(run) && !m_unlisted.contains(run) && !m_barred.contains(run) && m_starting.insert(run).second) {
-            asio::co_spawn(m_executor, startRun(this->shared_from_this(), run, m_report->incarnation), asio::detached);
+            const auto self = this->shared_from_this();
+            asio::co_spawn(m_executor, startRun(self, run, m_report->incarnation), [self, run](const std::exception_ptr &failure) {
+                self->handleOrderFailure(failure, self->m_starting, run);
+            });
         }
     }
     void stopIfNeeded(const RunId &run)
     {
         if (!hasEnded(run) && !m_barred.contains(run) && m_stopping.insert(run).second) {
-            asio::co_spawn(m_executor, stopRun(this->shared_from_this(), run, m_report->incarnation), asio::detached);
+            const auto self = this->shared_from_this();
+            asio::co_spawn(m_executor, stopRun(self, run, m_report->incarnation), [self, run](const std::exception_ptr &failure) {
+                self->handleOrderFailure(failure, self->m_stopping, run);
+            });
         }
     }
+    /** After an exception, lets the order be tried again with the next orders or listing. */
+    void handleOrderFailure(const std::exception_ptr &failure, std::set<RunId> &inProgress, const RunId &run)
+    {
+        if (failure) {
+            logRun("order failed unexpectedly", run, describeFailure(failure));
+            inProgress.erase(run);
+            markChanged();
+        }
+    }
+
     [[nodiscard]] bool isCurrentIncarnation(const HostIncarnation &incarnation) const
     {
         return m_report && m_report->incarnation == incarnation;
--- a/src/batch/scheduler.h
+++ b/src/batch/scheduler.h
@@ -15,11 +15,9 @@
 #include <utility>
 #include <vector>
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-
 #include "batch/candidacy.h"
 #include "batch/job_feed.h"
+#include "batch/loop.h"
 #include "batch/messages.h"
 #include "batch/planner.h"
 #include "batch/policy_holder.h"
@@ -62,7 +60,16 @@
 
     void start()
     {
-        asio::co_spawn(m_executor, runElections(this->shared_from_this()), asio::detached);
+        const auto self = this->shared_from_this();
+        spawnLoop(
+            m_executor,
+            "elections",
+            [self] {
+                return self->runElections(self);
+            },
+            [self] {
+                self->endTerm("unexpected error");
+            });
     }
 
     /** Releases the lease if this entry holds it, so that another entry need not wait for it to expire. */
@@ -154,6 +161,14 @@
         return m_term && !m_term->isOver;
     }
 
+    void endTerm(const std::string &why)
+    {
+        if (m_term) {
+            m_term->end(why);
+            m_term = nullptr;
+        }
+    }
+
     [[nodiscard]] SyncReply redirect(const SyncCall &call) const
     {
         SyncReply reply;
@@ -323,10 +338,18 @@
     asio::awaitable<void> runTerm(std::shared_ptr<Term> term)
     {
         const auto self = this->shared_from_this();
-        asio::co_spawn(m_executor, renewLease(self, term), asio::detached);
-        asio::co_spawn(m_executor, watchLoad(self, term), asio::detached);
-        asio::co_spawn(m_executor, m_feed.follow(term), [self](const std::exception_ptr &) {});
-        asio::co_spawn(m_executor, m_records.removeExpiredJobs(term), [self](const std::exception_ptr &) {});
+        spawnLoop(m_executor, "renew lease", [self, term] {
+            return self->renewLease(self, term);
+        });
+        spawnLoop(m_executor, "watch load", [self, term] {
+            return self->watchLoad(self, term);
+        });
+        spawnLoop(m_executor, "follow jobs", [self, term] {
+            return self->m_feed.follow(term);
+        });
+        spawnLoop(m_executor, "remove expired jobs", [self, term] {
+            return self->m_records.removeExpiredJobs(term);
+        });
         while (!term->isOver) {
             std::chrono::milliseconds gap = SchedulerTiming::MinRoundGap;
             if (term->isLoaded) {
--- a/tests/batch/agent_fixture.h
+++ b/tests/batch/agent_fixture.h
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <functional>
 #include <memory>
+#include <stdexcept>
 #include <utility>
 #include <vector>
 
@@ -35,6 +36,9 @@
     start(batch::RunOrder order, batch::HostIncarnation, base::FencingToken token, batch::ExecutorTime until, runtime::Instant)
     {
         starts.push_back({order.run, token, until, clock()});
+        if (std::exchange(isNextStartFailing, false)) {
+            throw std::runtime_error("executor's answer not understood");
+        }
         if (std::exchange(isNextAnswerLost, false)) {
             listing.running.push_back({order.run, "", 0});
             co_return batch::StartResult{batch::StartOutcome::Unknown, "answer lost"};
@@ -52,6 +56,9 @@
     boost::asio::awaitable<absl::StatusOr<batch::Listing>> hold(batch::HoldRequest request, runtime::Instant)
     {
         holds.push_back(request);
+        if (std::exchange(isNextHoldFailing, false)) {
+            throw std::runtime_error("executor's answer not understood");
+        }
         co_await runtime::sleepFor(holds.size() == 1 ? firstAnswerDelay : std::min<std::chrono::milliseconds>(request.wait, 50ms));
         listing.clock = clock();
         co_return listing;
@@ -67,6 +74,9 @@
     std::vector<batch::HoldRequest> holds;
     batch::Listing listing;
     bool isNextAnswerLost = false;
+    /** The next call throws what nobody expects of it. */
+    bool isNextHoldFailing = false;
+    bool isNextStartFailing = false;
     /** As if the agent's process were paused between its first call and the answer. */
     std::chrono::milliseconds firstAnswerDelay{0};
 
--- a/tests/batch/agent_test.cpp
+++ b/tests/batch/agent_test.cpp
@@ -86,3 +86,19 @@
         REQUIRE(start.run == AgentFixture::run("job", 1));
     }
 }
+
+TEST_CASE("An unexpected error in one call neither ends the agent nor leaves it without its loops")
+{
+    AgentFixture fixture([](const batch::SyncCall &) {
+        return AgentFixture::order(AgentFixture::run("job", 1), 3, 1, 5s);
+    });
+    fixture.executor.isNextHoldFailing = true;
+    fixture.executor.isNextStartFailing = true;
+    fixture.runUntil([&] {
+        return fixture.executor.holds.size() >= 4 && fixture.executor.starts.size() >= 2;
+    });
+    fixture.runUntil([&] {
+        return !fixture.calls.back().running.empty();
+    });
+    REQUIRE(fixture.executor.starts.back().run == AgentFixture::run("job", 1));
+}
