--- a/src/batch/job_feed.h
+++ b/src/batch/job_feed.h
@@ -49,6 +49,7 @@
             applyEntries(*term, all->entries);
             if (!term->isLoaded) {
                 term->isLoaded = true;
+                term->notifyAllHosts();
                 log::write(log::Severity::Info, "jobs loaded", {{"jobs", std::to_string(term->workload.jobs().size())}});
             }
             term->wake.notify();
--- a/src/batch/scheduler.h
+++ b/src/batch/scheduler.h
@@ -94,12 +94,11 @@
         }
         const auto term = m_term;
         m_syncCalls.add();
-        if (term->isLoaded && term->workload.applySync(call, runtime::Clock::now(), wallNow()) == SyncEffect::Changed) {
-            m_wake.notify();
-        }
         const auto until = runtime::Clock::now() + std::min<std::chrono::milliseconds>(call.wait, SchedulerTiming::MaxSyncHold);
+        bool isApplied = applyIfLoaded(*term, call);
         while (!term->isOver && !hasNewerOrders(*term, call) && runtime::Clock::now() < until) {
             co_await term->published(call.host).waitUntil(until);
+            isApplied = isApplied || applyIfLoaded(*term, call);
         }
         if (term->isOver) {
             co_return redirect(call);
@@ -161,6 +160,18 @@
         return m_term && !m_term->isOver;
     }
 
+    /** Applies the report unless the jobs haven't been read yet. Returns whether it has. */
+    bool applyIfLoaded(Term &term, const SyncCall &call)
+    {
+        if (!term.isLoaded || term.isOver) {
+            return false;
+        }
+        if (term.workload.applySync(call, runtime::Clock::now(), wallNow()) == SyncEffect::Changed) {
+            m_wake.notify();
+        }
+        return true;
+    }
+
     void endTerm(const std::string &why)
     {
         if (m_term) {
--- a/tests/batch/scheduler_test.cpp
+++ b/tests/batch/scheduler_test.cpp
@@ -253,3 +253,21 @@
     REQUIRE(reply.orders.runs.front().run.task.job.value() == "job");
     fixture.stop();
 }
+
+TEST_CASE("A call that a new leader receives while it is loading counts as soon as it has loaded")
+{
+    // After a change of leader all agents call before the jobs are read; if their reports counted only with the next call, nothing could be
+    // placed for another long poll.
+    Fixture fixture;
+    auto &entry = fixture.addEntry("e1");
+    entry.store.setDelay(100ms);
+    fixture.addJob("job");
+    fixture.syncUntil(entry, isFromLeader);
+    batch::SyncCall call = fixture.call();
+    call.wait = 1000ms;
+    const auto reply = tests::runOn(fixture.context, entry.scheduler->sync(call));
+    REQUIRE(reply.ok());
+    REQUIRE(reply->orders.runs.size() == 1);
+    entry.store.setDelay(0ms);
+    fixture.stop();
+}
