--- a/src/batch/workload_reports.cpp
+++ b/src/batch/workload_reports.cpp
@@ -216,7 +216,8 @@
 void Workload::expireSilentHosts(Instant now, WallTime wallNow)
 {
     const auto limit = m_bounds.maxGrant + m_bounds.grantMargin;
-    for (auto &[id, host] : m_hosts) {
+    for (auto &entry : m_hosts) {
+        Host &host = entry.second;
         const bool isSilent = now - std::max(host.lastHeardAt, m_termStart) > limit;
         const bool hasLeft = host.report.hasLeft && now - host.leftAt > m_bounds.departureMargin;
         if (!isSilent && !hasLeft) {
--- a/tests/batch/agent_test.cpp
+++ b/tests/batch/agent_test.cpp
@@ -21,18 +21,18 @@
 TEST_CASE("A start lets the executor run no longer than the leader's grant")
 {
     // A start's deadline prolongs the executor's lease. Beyond the grant, the leader may have given the task to another host.
-    constexpr auto Grant = 700ms;
-    AgentFixture fixture([](const batch::SyncCall &) {
-        return AgentFixture::order(AgentFixture::run("job", 1), 3, 1, Grant);
+    const std::chrono::milliseconds grant(700);
+    AgentFixture fixture([grant](const batch::SyncCall &) {
+        return AgentFixture::order(AgentFixture::run("job", 1), 3, 1, grant);
     });
     fixture.runUntil([&] {
         return !fixture.executor.starts.empty();
     });
     const auto &start = fixture.executor.starts.front();
     REQUIRE(start.token.value() == 3);
-    REQUIRE(start.until <= start.at + Grant);
+    REQUIRE(start.until <= start.at + grant);
     for (const auto &hold : fixture.executor.holds) {
-        REQUIRE(hold.until <= fixture.executor.clock() + Grant);
+        REQUIRE(hold.until <= fixture.executor.clock() + grant);
     }
 }
 
