--- a/bench/decisions/playback.cpp
+++ b/bench/decisions/playback.cpp
@@ -284,19 +284,18 @@
         run.hasCheckpoints = step.hasCheckpoints;
         run.cores = batch::coreEquivalents(step.need);
         const auto work = arrival.tasks[order.run.task.step][order.run.task.index].work;
-        run.fullTime = batch::scaled(work, (isRemote(order.run, step) ? m_bounds.remoteFactor : 1.0) / host.description().speed);
+        const bool isAwayFromData = !step.dataRack.empty() && host.description().rack != step.dataRack;
+        const double slowdown = isAwayFromData || isSpread(order.run, step) ? m_bounds.remoteFactor : 1.0;
+        run.fullTime = batch::scaled(work, slowdown / host.description().speed);
         host.start(order.run, run);
         checkStart(host, order.run);
-        if (!step.dataRack.empty() && host.description().rack != step.dataRack) {
-            host.find(order.run)->fullTime = batch::scaled(work, m_bounds.remoteFactor / host.description().speed);
-        }
         noteStart(order.run);
         scheduleEnd(index, order.run, arrival.failureShare);
         reportSoon(index);
     }
 
     /** Whether the unit's gang spreads over several racks although it prefers one. */
-    [[nodiscard]] bool isRemote(const batch::RunId &run, const batch::Step &step)
+    [[nodiscard]] bool isSpread(const batch::RunId &run, const batch::Step &step)
     {
         if (!step.isGang || !step.prefersSingleRack) {
             return false;
