--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -17,6 +17,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include "log/log.h"
 #include "runtime/timer.h"
 
 namespace plantainfork::http
@@ -144,6 +145,7 @@
     {
         const std::scoped_lock lock(mutex);
         if (connections.size() >= limits.connections) {
+            log::write(log::Severity::Warning, "connection rejected", {{"reason", "limit reached"}, {"open", std::to_string(connections.size())}});
             return;
         }
         connections.push_back(connection);
@@ -207,19 +209,25 @@
     const unsigned version = error ? 11 : parser.get().version();
     const bool wantsKeepAlive = !error && parser.get().keep_alive();
     Response response;
+    std::string target;
     if (error) {
         response = refusal(error);
     } else {
+        target = std::string(parser.get().target());
         response = co_await answer(fromBeast(parser.release()));
     }
     if (response.status == NoAnswer) {
         co_return false;
     }
     const bool keepAlive = wantsKeepAlive && !isDraining;
+    const unsigned status = response.status;
     BeastResponse message = toBeast(std::move(response), version, keepAlive);
     connection.stream.expires_after(limits.idleTimeout);
     co_await beast::http::async_write(connection.stream, message, asio::redirect_error(asio::use_awaitable, error));
     connection.isBusy = false;
+    if (error) {
+        log::write(log::Severity::Info, "answer not delivered", {{"target", target}, {"status", std::to_string(status)}, {"reason", error.message()}});
+    }
     co_return !error && keepAlive;
 }
 
@@ -228,6 +236,7 @@
     try {
         co_return co_await handler(std::move(request));
     } catch (const std::exception &error) {
+        log::write(log::Severity::Error, "request failed unexpectedly", {{"reason", error.what()}});
         co_return Response::text(500, std::string("internal error: ") + error.what() + "\n");
     }
 }
