--- /dev/null
+++ b/tests/platform/policy_feed_test.cpp
@@ -0,0 +1,117 @@
+/** How an entry follows the operator's configuration over the lines that it may have. */
+#include <catch2/catch.hpp>
+
+#include <boost/asio/io_context.hpp>
+
+#include "batch/relayed_store.h"
+#include "metrics/registry.h"
+#include "platform/policy_feed_impl.h"
+#include "platform/soak/store.h"
+#include "platform/store_client.h"
+#include "rpc/channel_pool.h"
+#include "standins/link.h"
+#include "standins/program.h"
+#include "support/run.h"
+
+using namespace plantainfork;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+using RelayedStore = batch::RelayedStore<platform::StoreClient>;
+
+/** An entry's policy feed, with a slow line to the store and a peer that is down. */
+struct SlowLine {
+    explicit SlowLine(std::uint64_t bitsPerSecond)
+        : store(context.get_executor())
+        , server(standins::listen(context,
+                                  {"127.0.0.1", 0},
+                                  [this](http::Request request) {
+                                      return store.answer(std::move(request));
+                                  }))
+        , link(context, 1ms, bitsPerSecond)
+        , line(link.addRoute({"127.0.0.1", 0}, {"127.0.0.1", server->port()}, standins::Heading::There))
+        , client(context.get_executor(), {line.host, line.port}, metrics)
+        , channels(context.get_executor(), {})
+        , relayed(client,
+                  channels,
+                  [this] {
+                      return std::vector<wire::Address>{deadPeer()};
+                  })
+        , holder(context.get_executor(), ConfirmationLifetime)
+        , feed(std::make_shared<platform::PolicyFeed<RelayedStore>>(context.get_executor(), relayed, holder))
+    {
+    }
+
+    static wire::Address deadPeer()
+    {
+        return {"127.0.0.1", 1};
+    }
+
+    /** The operator writes a configuration of about `bytes` bytes. */
+    void configure(std::uint64_t version, std::size_t bytes)
+    {
+        standins::Json routes = standins::Json::array();
+        std::size_t size = 0;
+        while (size < bytes) {
+            const std::string name = "queue-" + std::to_string(routes.size());
+            routes.push_back({{"Name", name}, {"Host", name + ".example"}, {"Prefix", "/" + name + "/"}, {"Service", "ledger"}});
+            size += routes.back().dump().size() + 1;
+        }
+        store.put("op/config", standins::Json{{"Version", version}, {"Routes", std::move(routes)}}.dump());
+    }
+
+    /** Runs until the version is in force and confirmed; returns whether that was within the time. */
+    bool runUntilInForce(std::uint64_t version, std::chrono::milliseconds time)
+    {
+        const auto deadline = runtime::Clock::now() + time;
+        while (runtime::Clock::now() < deadline) {
+            tests::runOn(context, runtime::sleepFor(10ms));
+            if (holder.policy() && holder.policy()->version == version && holder.isCurrent(runtime::Clock::now())) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** The time limit for the revocation of keys, 5 s, less 0.7 s for the answer's way. */
+    static constexpr std::chrono::milliseconds ConfirmationLifetime{4300};
+
+    boost::asio::io_context context{1};
+    metrics::Registry metrics;
+    soak::Store store;
+    std::unique_ptr<http::Server> server;
+    standins::Link link;
+    standins::Endpoint line;
+    platform::StoreClient client;
+    rpc::ChannelPool channels;
+    RelayedStore relayed;
+    batch::PolicyHolder holder;
+    std::shared_ptr<platform::PolicyFeed<RelayedStore>> feed;
+};
+
+} // namespace
+
+TEST_CASE("An entry that starts reads a configuration for which its line needs longer than for a usual call")
+{
+    SlowLine entry(4'000'000);
+    entry.configure(1, 400'000);
+    entry.feed->start();
+    REQUIRE(entry.runUntilInForce(1, 10s));
+}
+
+TEST_CASE("A configuration that becomes too large for a usual call is in force all the same, and is confirmed from then on")
+{
+    SlowLine entry(2'000'000);
+    entry.configure(1, 1'000);
+    entry.feed->start();
+    REQUIRE(entry.runUntilInForce(1, 10s));
+    entry.configure(2, 450'000);
+    REQUIRE(entry.runUntilInForce(2, 15s));
+    const auto until = runtime::Clock::now() + 6s;
+    while (runtime::Clock::now() < until) {
+        tests::runOn(entry.context, runtime::sleepFor(50ms));
+        REQUIRE(entry.holder.isCurrent(runtime::Clock::now()));
+    }
+}
