platform: Read a large configuration for as long as its bytes come

Cause: every way to read the configuration had a fixed limit for the whole answer (450 ms directly, 700 ms through a peer, 1.7 s for a watch). On a line of 10 Mbit/s a configuration of half a megabyte takes longer, so each read was cut off and begun again from its start, for good; attempts through a peer took the same bytes from the peer's line, too. Without a confirmed policy an entry answers nothing. An entry that had just started had no peers and so no short limit, which is why a restart healed it.

Now a read is given up when no byte has come for a while, and its whole time is bounded generously. A direct read is relayed when it is silent, not because it takes long.

--- a/src/batch/relayed_store.h
+++ b/src/batch/relayed_store.h
@@ -50,9 +50,11 @@
     store::Index after;
     /** Follow: longest wait for a change. Other operations: timeout. */
     std::chrono::milliseconds time{0};
+    /** ReadPrefix: store::ReadLimits::silence; 0 for a read that only its timeout limits. */
+    std::chrono::milliseconds silence{0};
     std::vector<store::Write> writes;
 
-    MSGPACK_DEFINE_MAP(operation, key, after, time, writes);
+    MSGPACK_DEFINE_MAP(operation, key, after, time, silence, writes);
 };
 
 /** Executes another entry's call. `store` must be this entry's direct client, so that a call is not relayed twice. */
@@ -73,7 +75,8 @@
         status = read.status();
         reply.read = read.ok() ? std::move(*read) : store::ReadResult();
     } else {
-        auto read = co_await store.readPrefix(std::move(call.key), deadline);
+        const store::ReadLimits limits{deadline, call.silence.count() > 0 ? call.silence : call.time};
+        auto read = co_await store.readPrefix(std::move(call.key), limits);
         status = read.status();
         reply.read = read.ok() ? std::move(*read) : store::ReadResult();
     }
@@ -124,6 +127,23 @@
         co_return toReadResult(reply);
     }
 
+    /** The direct call is relayed when it is silent for too long, but not because its answer takes long. */
+    boost::asio::awaitable<absl::StatusOr<store::ReadResult>> readPrefix(std::string prefix, store::ReadLimits limits)
+    {
+        if (shouldTryDirect()) {
+            const store::ReadLimits directLimits{limits.deadline, m_peers().empty() ? limits.silence : std::min(limits.silence, DirectTimeout)};
+            auto result = co_await m_direct.readPrefix(prefix, directLimits);
+            recordDirectResult(result.status());
+            if (result.ok() || !hasTime(limits.deadline)) {
+                co_return result;
+            }
+        }
+        RelayCall call = buildCall(RelayedOperation::ReadPrefix, std::move(prefix), limits.deadline);
+        call.silence = limits.silence;
+        const auto reply = co_await relay(std::move(call), limits.deadline);
+        co_return toReadResult(reply);
+    }
+
     boost::asio::awaitable<absl::StatusOr<store::Changes>> followPrefix(std::string prefix, store::Index after, std::chrono::milliseconds wait)
     {
         if (shouldTryDirect()) {
@@ -196,8 +216,11 @@
     static constexpr std::chrono::milliseconds DirectTimeout{450};
     /** After a direct call has failed, calls are relayed for this long before the next direct attempt. */
     static constexpr std::chrono::milliseconds DirectRetryDelay{1000};
-    /** Added to the wait of a relayed follow call, for the time that the call and its answer take through the peer. */
-    static constexpr std::chrono::milliseconds FollowMargin{700};
+    /**
+     * Added to the wait of a relayed follow call, for the time that a large answer takes on the peer's line and on this one. A peer that
+     * doesn't reach the store says so earlier, and the channel notices one that is gone.
+     */
+    static constexpr std::chrono::milliseconds FollowMargin{6000};
     /** A call with less time than this left is not relayed. */
     static constexpr std::chrono::milliseconds MinTimeLeft{40};
     /** After all peers have failed, calls fail immediately for this long instead of waiting for every peer again. */
@@ -250,8 +273,8 @@
         for (std::size_t i = 0; i < peers.size() && hasTime(deadline); ++i) {
             const auto &peer = peers[(m_lastPeer + i) % peers.size()];
             const auto channel = m_channels.to(peer);
-            const bool isFollow = call.operation == RelayedOperation::Follow;
-            const auto until = isFollow ? deadline : std::min(deadline, runtime::Clock::now() + PeerTimeout);
+            const bool mayAnswerBeLarge = call.operation == RelayedOperation::Follow || call.silence.count() > 0;
+            const auto until = mayAnswerBeLarge ? deadline : std::min(deadline, runtime::Clock::now() + PeerTimeout);
             auto result = co_await rpc::call(*channel, call, until);
             if (result.reply.ok()) {
                 m_lastPeer = (m_lastPeer + i) % peers.size();
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -1,5 +1,6 @@
 #include "http/client.h"
 
+#include <algorithm>
 #include <mutex>
 #include <utility>
 #include <vector>
@@ -216,17 +217,20 @@
     return m_state->port;
 }
 
-asio::awaitable<Exchange> Client::send(Request request, runtime::Instant deadline)
+asio::awaitable<Exchange> Client::send(Request request, runtime::Instant deadline, std::chrono::milliseconds silence)
 {
     const auto state = m_state;
-    auto taken = co_await state->take(deadline);
+    const auto nextLimit = [deadline, silence] {
+        return std::min<runtime::Instant>(deadline, runtime::Clock::now() + silence);
+    };
+    auto taken = co_await state->take(nextLimit());
     if (!taken.ok()) {
         co_return Exchange{Delivery::NotSent, taken.status()};
     }
     Borrowed<State> connection(*state, std::move(*taken));
     auto message = toBeast(std::move(request), state->host);
     beast::error_code error;
-    connection.stream().expires_after(remainingUntil(deadline));
+    connection.stream().expires_after(remainingUntil(nextLimit()));
     const std::size_t written = co_await beast::http::async_write(connection.stream(), message, asio::redirect_error(asio::use_awaitable, error));
     if (error) {
         co_return Exchange{written == 0 ? Delivery::NotSent : Delivery::Sent, failure("send", error)};
@@ -235,7 +239,10 @@
     beast::http::response_parser<beast::http::string_body> parser;
     parser.header_limit(static_cast<std::uint32_t>(state->limits.headerBytes));
     parser.body_limit(state->limits.bodyBytes);
-    co_await beast::http::async_read(connection.stream(), buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+    while (!error && !parser.is_done()) {
+        connection.stream().expires_after(remainingUntil(nextLimit()));
+        co_await beast::http::async_read_some(connection.stream(), buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+    }
     if (error) {
         co_return Exchange{Delivery::Sent, failure("receive", error)};
     }
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -1,6 +1,7 @@
 /** HTTP/1.1 client over Beast with a bounded pool of kept-alive connections to one endpoint. */
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -31,6 +32,9 @@
     absl::StatusOr<Response> response;
 };
 
+/** For exchanges that only their deadline limits. */
+constexpr std::chrono::milliseconds NoSilenceLimit = std::chrono::hours(24);
+
 class Client
 {
 public:
@@ -40,9 +44,10 @@
 
     /**
      * Sends one request and reads the whole answer. A kept connection that the peer closed before any byte of
-     * this request was written is replaced silently; the request itself is never sent twice.
+     * this request was written is replaced silently; the request itself is never sent twice. Gives up at the deadline, or earlier when
+     * nothing has come or gone for as long as `silence`.
      */
-    boost::asio::awaitable<Exchange> send(Request request, runtime::Instant deadline);
+    boost::asio::awaitable<Exchange> send(Request request, runtime::Instant deadline, std::chrono::milliseconds silence = NoSilenceLimit);
 
     [[nodiscard]] const std::string &host() const;
     [[nodiscard]] std::uint16_t port() const;
--- a/src/store/key_value.h
+++ b/src/store/key_value.h
@@ -99,6 +99,17 @@
     MSGPACK_DEFINE(outcome, written, reason);
 };
 
+/**
+ * When a read is given up. A store that is reached begins to answer soon, but a large answer takes its time on a slow line, and one that is
+ * cut off has to be read again from its start.
+ */
+struct ReadLimits {
+    /** The whole answer must be there by then. */
+    runtime::Instant deadline;
+    /** Longest time without a byte of the answer. */
+    std::chrono::milliseconds silence{0};
+};
+
 /** A store, real or a double. All calls return by their deadline. */
 template<typename T>
 concept KeyValueStore =
@@ -131,7 +142,7 @@
 
 /** A store that also tells single changes, so that a watcher of many keys needn't read all of them again. */
 template<typename T>
-concept ChangeFeed = KeyValueStore<T> && requires(T store, std::string prefix, Index index, std::chrono::milliseconds wait)
+concept ChangeFeed = KeyValueStore<T> && requires(T store, std::string prefix, Index index, std::chrono::milliseconds wait, ReadLimits limits)
 {
     /**
      * Returns as soon as anything under the prefix is newer than the index, or with nothing after the wait. OutOfRange: the store
@@ -140,6 +151,10 @@
     {
         store.followPrefix(prefix, index, wait)
         } -> std::same_as<boost::asio::awaitable<absl::StatusOr<Changes>>>;
+    /** For prefixes whose values may be large. */
+    {
+        store.readPrefix(prefix, limits)
+        } -> std::same_as<boost::asio::awaitable<absl::StatusOr<ReadResult>>>;
 };
 
 } // namespace plantainfork::store
--- a/tests/support/memory_store.h
+++ b/tests/support/memory_store.h
@@ -285,6 +285,11 @@
         co_return m_data->read(prefix, true);
     }
 
+    boost::asio::awaitable<absl::StatusOr<store::ReadResult>> readPrefix(std::string prefix, store::ReadLimits limits)
+    {
+        return readPrefix(std::move(prefix), limits.deadline);
+    }
+
     boost::asio::awaitable<absl::StatusOr<store::ReadResult>> watchPrefix(std::string prefix, store::Index after, std::chrono::milliseconds wait)
     {
         ++m_watches;
