batch: Give up a task under which executors keep crashing

Cause: only ends reported as failed count towards a limit. A crashed executor reports nothing; its runs were marked lost, and the task was started again, up to 11 times, often on the host that it had just crashed. The logs show 'run lost' and the next 'unit placed' in turn, with one leader as well as after a change; no agent started a run twice by itself.

Now the agent, which alone knows what an executor was told to start, tells the leader which runs the executor may have had when it went without notice, until they are recorded. A task is given up after crashes on two hosts if it was alone on the second, and after three in any case, which the record of its job keeps for the next leader. Tasks that were on a crashed executor are placed apart from other work and away from hosts that crash, so that the next crash shows whether the task, its neighbour or its host is the cause, and takes less with it. A start that could not even be sent is no longer taken for one that may have run.

The new tests can't be built on the code before, whose messages don't tell of crashes.

--- a/src/batch/agent.h
+++ b/src/batch/agent.h
@@ -57,6 +57,7 @@
         , m_leaderDoubted(executor)
         , m_starts(metrics.counter("plantainfork_batch_starts_total"))
         , m_holdFailures(metrics.counter("plantainfork_batch_hold_failures_total"))
+        , m_crashes(metrics.counter("plantainfork_batch_executor_crashes_total"))
         , m_startSeconds(metrics.histogram("plantainfork_batch_start_seconds"))
     {
         const auto wall = std::chrono::system_clock::now().time_since_epoch();
@@ -84,6 +85,9 @@
     void handleHostReport(HostReport report)
     {
         const bool isNewIncarnation = !m_report || m_report->incarnation != report.incarnation;
+        if (isNewIncarnation && m_report && !m_report->isDraining && !m_report->hasLeft) {
+            handleCrash();
+        }
         const bool isChanged =
             isNewIncarnation || m_report->isDraining != report.isDraining || m_report->capacity != report.capacity || m_report->labels != report.labels;
         m_report = std::move(report);
@@ -96,6 +100,7 @@
             m_clockAt = {};
             m_starting.clear();
             m_unlisted.clear();
+            m_possiblyRunning.clear();
             m_barred.clear();
             m_stopping.clear();
             m_orders = {};
@@ -207,6 +212,7 @@
         call.barred.assign(m_barred.begin(), m_barred.end());
         call.starting.assign(m_starting.begin(), m_starting.end());
         call.starting.insert(call.starting.end(), m_unlisted.begin(), m_unlisted.end());
+        call.crashed.assign(m_crashed.begin(), m_crashed.end());
         call.wait = wait;
         return call;
     }
@@ -330,6 +336,8 @@
         m_ordersToken = reply.token;
         mergePayloads(reply.orders);
         m_orders = reply.orders;
+        // Orders for this incarnation are sent after the leader has recorded what the report of it told.
+        m_crashed.clear();
         std::erase_if(m_barred, [&](const RunId &run) {
             return !isOrdered(run) && !isStopOrdered(run);
         });
@@ -442,6 +450,10 @@
             }
             const RunOrder order = found->second;
             const auto result = co_await m_port.start(order, incarnation, m_token, startDeadline(), runtime::Clock::now() + OrderTimeout);
+            const bool mayRun = result.outcome == StartOutcome::Started || result.outcome == StartOutcome::Unknown;
+            if (mayRun && isCurrentIncarnation(incarnation)) {
+                m_possiblyRunning.insert(run);
+            }
             if (result.outcome == StartOutcome::Started) {
                 m_starts.add();
                 m_startSeconds.record(runtime::Clock::now() - begin);
@@ -494,6 +506,7 @@
             if (hasFreshListing) {
                 if (!isListed(run)) {
                     m_barred.insert(run);
+                    m_possiblyRunning.erase(run);
                     logRun("run barred", run, "");
                 }
                 co_return;
@@ -559,9 +572,25 @@
         co_return true;
     }
 
+    /** The known incarnation of the executor is gone without notice: keeps what it may have been running, since one of these runs may be the cause. */
+    void handleCrash()
+    {
+        if (m_crashedIncarnation == m_report->incarnation) {
+            return;
+        }
+        m_crashedIncarnation = m_report->incarnation;
+        m_crashes.add();
+        log::write(log::Severity::Warning,
+                   "executor crashed",
+                   {{"instance", m_crashedIncarnation.instance}, {"runs", std::to_string(m_possiblyRunning.size())}});
+        m_crashed.insert(m_possiblyRunning.begin(), m_possiblyRunning.end());
+        m_possiblyRunning.clear();
+    }
+
     /** The executor has restarted without having announced it yet: discards what is known of the earlier incarnation. */
     void handleUnannouncedRestart(const Listing &listing)
     {
+        handleCrash();
         if (m_listing) {
             log::write(log::Severity::Info,
                        "executor restarted unannounced",
@@ -584,6 +613,12 @@
         const bool isChanged = !m_listing || m_listToken != token || haveRunsChanged(*m_listing, listing);
         m_listing = listing;
         m_unlisted.clear();
+        for (const auto &running : listing.running) {
+            m_possiblyRunning.insert(running.run);
+        }
+        for (const auto &ended : listing.ended) {
+            m_possiblyRunning.erase(ended.run);
+        }
         m_listToken = token;
         if (isChanged) {
             markChanged();
@@ -684,6 +719,12 @@
     std::set<RunId> m_starting;
     /** Started but not listed yet: only a listing shows which incarnation of the executor has them. */
     std::set<RunId> m_unlisted;
+    /** Runs of the present incarnation of the executor that have, or may have, started and have not been listed as ended. */
+    std::set<RunId> m_possiblyRunning;
+    /** Runs that earlier incarnations may have had when they crashed, until the leader has recorded them. */
+    std::set<RunId> m_crashed;
+    /** The last incarnation that has crashed. */
+    HostIncarnation m_crashedIncarnation;
     std::set<RunId> m_stopping;
     /** Runs that have never started and never will. */
     std::set<RunId> m_barred;
@@ -698,6 +739,7 @@
     runtime::Signal m_leaderDoubted;
     metrics::Counter &m_starts;
     metrics::Counter &m_holdFailures;
+    metrics::Counter &m_crashes;
     metrics::Histogram &m_startSeconds;
 };
 
--- a/src/batch/fit_search.h
+++ b/src/batch/fit_search.h
@@ -50,6 +50,11 @@
 private:
     /** Preference among hosts with enough resources, of which `left` would stay free: lower is better. */
     [[nodiscard]] double hostCost(const HostState &state, const Candidate &candidate, const Resources &left) const;
+    /**
+     * Keeps units that were on executors that crashed away from other work and from hosts that crash: the next crash then shows whether it
+     * is the unit or the host that fails, and takes less with it.
+     */
+    [[nodiscard]] double crashCost(const HostState &state, const Unit &unit) const;
     /** What one more task of a unit would take from a host. */
     struct HostTrial {
         bool isPossible = false;
--- a/src/batch/messages.h
+++ b/src/batch/messages.h
@@ -82,6 +82,8 @@
     std::vector<RunId> barred;
     /** Ordered runs that the agent is still trying to start. */
     std::vector<RunId> starting;
+    /** Runs that an earlier incarnation of the executor had, or may have had, when it crashed; repeated until the leader has recorded them. */
+    std::vector<RunId> crashed;
     /** How long the leader may hold the call while there are no newer orders. */
     std::chrono::milliseconds wait{0};
 
@@ -98,6 +100,7 @@
                        ended,
                        barred,
                        starting,
+                       crashed,
                        wait);
 };
 
--- a/src/batch/records.h
+++ b/src/batch/records.h
@@ -10,6 +10,7 @@
  */
 #pragma once
 
+#include <map>
 #include <optional>
 #include <set>
 #include <string>
@@ -45,8 +46,10 @@
     std::string checkpoint;
     /** Hosts on which the attempt may be running, in the order of the gang's tasks; empty while the unit waits. */
     std::vector<MemberRecord> members;
+    /** Unit::crashes; a record of an earlier version doesn't have it. */
+    std::map<Attempt, HostId> crashes;
 
-    MSGPACK_DEFINE(occurrence, step, index, isDone, attempt, failures, checkpoint, members);
+    MSGPACK_DEFINE(occurrence, step, index, isDone, attempt, failures, checkpoint, members, crashes);
 };
 
 struct JobState {
--- a/src/batch/workload.cpp
+++ b/src/batch/workload.cpp
@@ -111,6 +111,7 @@
         }
         unit->attempt = record.attempt;
         unit->failures = record.failures;
+        unit->crashes = record.crashes;
         unit->checkpoint = record.checkpoint;
         job.setPhase(*unit, record.isDone ? UnitPhase::Done : record.members.empty() ? UnitPhase::Waiting : UnitPhase::Placed);
         for (const auto &memberRecord : record.members) {
@@ -458,6 +459,7 @@
         record.isDone = unit.phase == UnitPhase::Done;
         record.attempt = unit.attempt;
         record.failures = unit.failures;
+        record.crashes = unit.crashes;
         if (!record.isDone) {
             record.checkpoint = unit.checkpoint;
             for (const auto &member : unit.members) {
--- a/src/batch/workload_reports.cpp
+++ b/src/batch/workload_reports.cpp
@@ -28,6 +28,7 @@
     if (!call.hasReport) {
         return SyncEffect::Progress;
     }
+    isChanged = applyCrashedRuns(host, call, now, wallNow) || isChanged;
     isChanged = applyReport(host, call, now, wallNow) || isChanged;
     if (call.listToken != m_token) {
         return isChanged ? SyncEffect::Changed : SyncEffect::Progress;
@@ -171,6 +172,50 @@
     return isChanged;
 }
 
+bool Workload::applyCrashedRuns(Host &host, const SyncCall &call, Instant now, WallTime wallNow)
+{
+    bool isChanged = false;
+    const auto unitOf = [this](const TaskId &task) {
+        const auto job = m_jobs.find(task.job);
+        return job != m_jobs.end() ? UnitRef{&job->second, job->second.unit(task)} : UnitRef();
+    };
+    const bool wasAlone = std::all_of(call.crashed.begin(), call.crashed.end(), [&](const RunId &run) {
+        return unitOf(run.task) == unitOf(call.crashed.front().task);
+    });
+    for (const auto &run : call.crashed) {
+        const auto [job, unit] = unitOf(run.task);
+        if (unit == nullptr || unit->phase == UnitPhase::Done || isEnded(job->status) || !unit->crashes.emplace(run.attempt, host.id).second) {
+            continue;
+        }
+        isChanged = true;
+        host.crashedAt = now;
+        job->isDirty = true;
+        log("executor crashed under run",
+            {{"job", job->spec.id.value()},
+             {"task", run.task.text()},
+             {"attempt", std::to_string(run.attempt.value())},
+             {"host", host.id.value()},
+             {"crashes", std::to_string(unit->crashes.size())},
+             {"runs_on_executor", std::to_string(call.crashed.size())}});
+        if (hasReachedCrashLimit(*unit, wasAlone)) {
+            log("unit given up",
+                {{"job", job->spec.id.value()}, {"task", run.task.text()}, {"reason", "executors crash under it"}, {"was_alone", wasAlone ? "true" : "false"}});
+            endJob(*job, JobStatus::Failed, wallNow);
+        }
+    }
+    return isChanged;
+}
+
+bool Workload::hasReachedCrashLimit(const Unit &unit, bool wasAlone) const
+{
+    std::set<HostId> hosts;
+    for (const auto &[attempt, host] : unit.crashes) {
+        hosts.insert(host);
+    }
+    // Crashes on a single host may be the host's fault.
+    return unit.crashes.size() >= m_bounds.crashLimit || (wasAlone && hosts.size() >= m_bounds.crashLimitAlone);
+}
+
 void Workload::resolveRestartedExecutor(const Host &host, Instant now, WallTime wallNow)
 {
     const HostIncarnation &present = host.report.incarnation;
--- a/tests/batch/agent_fixture.h
+++ b/tests/batch/agent_fixture.h
@@ -114,11 +114,18 @@
                 co_return wire::Address();
             },
             m_metrics);
+        announce({"i-1", 1});
+        m_agent->start();
+    }
+
+    /** The executor reports itself; a new incarnation runs nothing. */
+    void announce(batch::HostIncarnation incarnation, bool isDraining = false)
+    {
         batch::HostReport report;
-        report.incarnation = {"i-1", 1};
+        report.incarnation = std::move(incarnation);
         report.capacity = {64'000, 256'000, 8};
+        report.isDraining = isDraining;
         m_agent->handleHostReport(std::move(report));
-        m_agent->start();
     }
 
     void runFor(std::chrono::milliseconds time)
--- a/tests/batch/agent_test.cpp
+++ b/tests/batch/agent_test.cpp
@@ -102,3 +102,59 @@
     });
     REQUIRE(fixture.executor.starts.back().run == AgentFixture::run("job", 1));
 }
+
+TEST_CASE("After a crash of the executor the leader is told which runs it had, until it has orders for the next incarnation")
+{
+    bool isCrashRecorded = false;
+    AgentFixture fixture([&](const batch::SyncCall &call) {
+        auto reply = AgentFixture::order(AgentFixture::run("job", 1), 3, 1, 5s);
+        if (call.report.incarnation.instance == "i-2") {
+            reply.orders.incarnation = {"i-2", 2};
+            reply.orders.version = isCrashRecorded ? 2 : 0;
+            reply.orders.runs.clear();
+        }
+        return reply;
+    });
+    fixture.runUntil([&] {
+        return !fixture.executor.starts.empty();
+    });
+    SECTION("a crash right after the start, before any list of runs")
+    {
+        fixture.executor.listing.running.clear();
+    }
+    SECTION("a crash of an executor that has listed the run")
+    {
+        fixture.runUntil([&] {
+            return !fixture.calls.back().running.empty();
+        });
+        fixture.executor.listing.running.clear();
+    }
+    fixture.announce({"i-2", 2});
+    fixture.runUntil([&] {
+        return !fixture.calls.back().crashed.empty();
+    });
+    REQUIRE(fixture.calls.back().report.incarnation.instance == "i-2");
+    REQUIRE(fixture.calls.back().crashed == std::vector<batch::RunId>{AgentFixture::run("job", 1)});
+    fixture.runFor(100ms);
+    REQUIRE_FALSE(fixture.calls.back().crashed.empty());
+    isCrashRecorded = true;
+    fixture.runUntil([&] {
+        return fixture.calls.back().crashed.empty();
+    });
+}
+
+TEST_CASE("The end of an executor that was draining is no crash")
+{
+    AgentFixture fixture([](const batch::SyncCall &) {
+        return AgentFixture::order(AgentFixture::run("job", 1), 3, 1, 5s);
+    });
+    fixture.runUntil([&] {
+        return !fixture.calls.empty() && !fixture.calls.back().running.empty();
+    });
+    fixture.announce({"i-1", 1}, true);
+    fixture.announce({"i-2", 2});
+    fixture.runUntil([&] {
+        return fixture.calls.back().report.incarnation.instance == "i-2";
+    });
+    REQUIRE(fixture.calls.back().crashed.empty());
+}
--- a/tests/batch/workload_test.cpp
+++ b/tests/batch/workload_test.cpp
@@ -2,6 +2,7 @@
 #include <catch2/catch.hpp>
 
 #include "batch/workload_fixture.h"
+#include "wire/codec.h"
 
 using namespace plantainfork;
 using namespace std::chrono_literals;
@@ -316,3 +317,128 @@
     fixture.advanceClock(20s);
     REQUIRE(fixture.runRound().stops.empty());
 }
+
+namespace
+{
+
+/** The executor of the host crashes with the runs on it, and is back as another incarnation. */
+void crashExecutor(WorkloadFixture &fixture, const batch::HostId &host, const std::vector<batch::RunId> &runs)
+{
+    auto &call = fixture.call(host.value());
+    call.crashed = runs;
+    call.running.clear();
+    call.report.incarnation.instance += "x";
+    ++call.report.incarnation.born;
+    fixture.sendReport(host.value());
+}
+
+batch::JobStatus statusOf(WorkloadFixture &fixture, const std::string &job)
+{
+    return fixture.workload.jobs().at(base::JobId(job)).status;
+}
+
+} // namespace
+
+TEST_CASE("A task under which executors crash one after the other is given up, and its job with it")
+{
+    // Its start crashed executor after executor, with all that ran there, until the day's end.
+    WorkloadFixture fixture;
+    for (const auto *host : {"a", "b", "c"}) {
+        fixture.addHost(host, "r1-1");
+    }
+    fixture.addJob("deadly", "long", "rif", {WorkloadFixture::step(1, 8, 5s)});
+    const auto first = fixture.runRound().placements.at(0).hosts.at(0);
+    crashExecutor(fixture, first, {WorkloadFixture::run("deadly", 0, 0, 1)});
+    REQUIRE(statusOf(fixture, "deadly") == batch::JobStatus::Active);
+    const auto second = fixture.runRound().placements.at(0).hosts.at(0);
+    REQUIRE(second != first);
+    crashExecutor(fixture, second, {WorkloadFixture::run("deadly", 0, 0, 2)});
+    REQUIRE(statusOf(fixture, "deadly") == batch::JobStatus::Failed);
+    REQUIRE(fixture.runRound().placements.empty());
+}
+
+TEST_CASE("What ran beside a task that crashes executors is not given up with it")
+{
+    WorkloadFixture fixture;
+    for (const auto *host : {"a", "b", "c", "d"}) {
+        fixture.addHost(host, "r1-1");
+    }
+    fixture.addJob("deadly", "long", "rif", {WorkloadFixture::step(1, 1, 5s)});
+    fixture.addJob("harmless", "long", "rif", {WorkloadFixture::step(1, 1, 5s)});
+    const auto placements = fixture.runRound().placements;
+    const auto first = placements.at(0).hosts.at(0);
+    REQUIRE(placements.at(1).hosts.at(0) == first);
+    crashExecutor(fixture, first, {WorkloadFixture::run("deadly", 0, 0, 1), WorkloadFixture::run("harmless", 0, 0, 1)});
+    SECTION("they are started on hosts of their own, so that the next crash shows which of them is the cause")
+    {
+        const auto retries = fixture.runRound().placements;
+        REQUIRE(retries.size() == 2);
+        REQUIRE(retries[0].hosts.at(0) != first);
+        REQUIRE(retries[1].hosts.at(0) != first);
+        REQUIRE(retries[0].hosts != retries[1].hosts);
+        const std::size_t deadly = retries[0].unit.job->spec.id.value() == "deadly" ? 0 : 1;
+        crashExecutor(fixture, retries[deadly].hosts.at(0), {WorkloadFixture::run("deadly", 0, 0, 2)});
+        REQUIRE(statusOf(fixture, "deadly") == batch::JobStatus::Failed);
+        REQUIRE(statusOf(fixture, "harmless") == batch::JobStatus::Active);
+    }
+    SECTION("where they had to share a host again, neither is given up before a third crash")
+    {
+        fixture.runRound();
+        crashExecutor(fixture, batch::HostId("d"), {WorkloadFixture::run("deadly", 0, 0, 2), WorkloadFixture::run("harmless", 0, 0, 2)});
+        REQUIRE(statusOf(fixture, "deadly") == batch::JobStatus::Active);
+        REQUIRE(statusOf(fixture, "harmless") == batch::JobStatus::Active);
+        crashExecutor(fixture, batch::HostId("c"), {WorkloadFixture::run("deadly", 0, 0, 3), WorkloadFixture::run("other", 0, 0, 1)});
+        REQUIRE(statusOf(fixture, "deadly") == batch::JobStatus::Failed);
+    }
+}
+
+TEST_CASE("Crashes of one host alone are not blamed on a task before the third")
+{
+    WorkloadFixture fixture;
+    fixture.addHost("a", "r1-1");
+    fixture.addJob("job", "long", "rif", {WorkloadFixture::step(1, 8, 5s)});
+    for (std::uint64_t attempt = 1; attempt <= 2; ++attempt) {
+        REQUIRE(fixture.runRound().placements.size() == 1);
+        crashExecutor(fixture, batch::HostId("a"), {WorkloadFixture::run("job", 0, 0, attempt)});
+        REQUIRE(statusOf(fixture, "job") == batch::JobStatus::Active);
+    }
+    REQUIRE(fixture.runRound().placements.size() == 1);
+    crashExecutor(fixture, batch::HostId("a"), {WorkloadFixture::run("job", 0, 0, 3)});
+    REQUIRE(statusOf(fixture, "job") == batch::JobStatus::Failed);
+}
+
+TEST_CASE("A crash that is reported repeatedly counts once, and a new leader goes on counting")
+{
+    WorkloadFixture fixture;
+    fixture.addHost("a", "r1-1");
+    fixture.addHost("b", "r1-1");
+    auto &job = fixture.addJob("deadly", "long", "rif", {WorkloadFixture::step(1, 8, 5s)});
+    const auto first = fixture.runRound().placements.at(0).hosts.at(0);
+    crashExecutor(fixture, first, {WorkloadFixture::run("deadly", 0, 0, 1)});
+    fixture.sendReport(first.value());
+    REQUIRE(unitOf(fixture, "deadly").crashes.size() == 1);
+    REQUIRE(job.isDirty);
+    WorkloadFixture next;
+    next.addHost("a", "r1-1");
+    next.addHost("b", "r1-1");
+    next.workload.addJob(job.spec, wire::decode<batch::JobState>(wire::encode(fixture.workload.recordOf(job))).value(), next.now, next.wallNow());
+    const auto second = next.runRound().placements.at(0).hosts.at(0);
+    REQUIRE(second != first);
+    crashExecutor(next, second, {WorkloadFixture::run("deadly", 0, 0, 2)});
+    REQUIRE(statusOf(next, "deadly") == batch::JobStatus::Failed);
+}
+
+TEST_CASE("A host whose room has shrunk gets no more than it offers now")
+{
+    WorkloadFixture fixture;
+    fixture.addHost("a", "r1-1");
+    fixture.addJob("job", "long", "rif", {WorkloadFixture::step(12, 1, 20s)});
+    REQUIRE(fixture.runRound().placements.size() == 8);
+    fixture.reportOrdersRunning("a", 5);
+    fixture.call("a").report.capacity.accelerators = 4;
+    fixture.reportEnd("a", WorkloadFixture::run("job", 0, 0, 1), batch::EndKind::Done);
+    REQUIRE(fixture.runRound().placements.empty());
+    fixture.call("a").report.capacity.accelerators = 8;
+    fixture.sendReport("a");
+    REQUIRE(fixture.runRound().placements.size() == 1);
+}
