batch: Load jobs and states for as long as their bytes come

Callers would see that nothing starts any more: a new leader reads all jobs and states with a limit of 6 s for the whole read. Once the line needs longer than that, each read is cut off and begun again from its start, for good, and no entry on such a line can lead.

Now these reads have the same kind of limits: they are given up when no byte has come for as long as any other store call may take, and their whole time is bounded generously.

The tests' slow line is in a header of its own, for both tests.

--- a/src/batch/job_feed.h
+++ b/src/batch/job_feed.h
@@ -32,7 +32,7 @@
     asio::awaitable<void> follow(std::shared_ptr<Term> term)
     {
         while (!term->isOver) {
-            const auto all = co_await m_store.readPrefix(std::string(keys::Jobs), runtime::Clock::now() + SchedulerTiming::LoadTimeout);
+            const auto all = co_await m_store.readPrefix(std::string(keys::Jobs), loadLimits());
             if (!all.ok()) {
                 log::write(log::Severity::Warning, "jobs not read", {{"reason", std::string(all.status().message())}});
                 co_await runtime::sleepFor(SchedulerTiming::RetryDelay);
@@ -58,6 +58,12 @@
     }
 
 private:
+    /** Limits of a read that starts now. */
+    static store::ReadLimits loadLimits()
+    {
+        return {runtime::Clock::now() + SchedulerTiming::LoadTimeout, SchedulerTiming::LoadSilence};
+    }
+
     /** Applies changes from `index` on, until the store no longer has the history or the term is over. */
     asio::awaitable<void> followFrom(Term &term, store::Index index)
     {
@@ -82,7 +88,7 @@
     /** Loads the states recorded by earlier leaders, which can't write any more: every write requires the writer's lease. */
     asio::awaitable<bool> loadStates(Term &term)
     {
-        const auto all = co_await m_store.readPrefix(std::string(keys::States), runtime::Clock::now() + SchedulerTiming::LoadTimeout);
+        const auto all = co_await m_store.readPrefix(std::string(keys::States), loadLimits());
         if (!all.ok()) {
             log::write(log::Severity::Warning, "states not read", {{"reason", std::string(all.status().message())}});
             co_return false;
--- a/src/batch/term.h
+++ b/src/batch/term.h
@@ -29,7 +29,9 @@
     /** Timeout of one store call; a usual answer takes milliseconds, a slow one about half a second. */
     static constexpr std::chrono::milliseconds StoreCallTimeout{1500};
     /** Timeout for reading all jobs or states at the start of a term: a megabyte takes a second over an entry's 10 Mbit/s link. */
-    static constexpr std::chrono::milliseconds LoadTimeout{6000};
+    static constexpr std::chrono::milliseconds LoadTimeout{60'000};
+    /** Longest time without a byte of them, as for any other store call. */
+    static constexpr std::chrono::milliseconds LoadSilence = StoreCallTimeout;
     /** Longest wait of one watch call to the store. */
     static constexpr std::chrono::milliseconds WatchWait{10'000};
     static constexpr std::chrono::milliseconds RetryDelay{100};
--- a/tests/platform/policy_feed_test.cpp
+++ b/tests/platform/policy_feed_test.cpp
@@ -1,16 +1,10 @@
 /** How an entry follows the operator's configuration over the lines that it may have. */
 #include <catch2/catch.hpp>
 
-#include <boost/asio/io_context.hpp>
-
 #include "batch/relayed_store.h"
-#include "metrics/registry.h"
 #include "platform/policy_feed_impl.h"
-#include "platform/soak/store.h"
-#include "platform/store_client.h"
+#include "platform/slow_line.h"
 #include "rpc/channel_pool.h"
-#include "standins/link.h"
-#include "standins/program.h"
 #include "support/run.h"
 
 using namespace plantainfork;
@@ -22,17 +16,9 @@
 using RelayedStore = batch::RelayedStore<platform::StoreClient>;
 
 /** An entry's policy feed, with a slow line to the store and a peer that is down. */
-struct SlowLine {
-    explicit SlowLine(std::uint64_t bitsPerSecond)
-        : store(context.get_executor())
-        , server(standins::listen(context,
-                                  {"127.0.0.1", 0},
-                                  [this](http::Request request) {
-                                      return store.answer(std::move(request));
-                                  }))
-        , link(context, 1ms, bitsPerSecond)
-        , line(link.addRoute({"127.0.0.1", 0}, {"127.0.0.1", server->port()}, standins::Heading::There))
-        , client(context.get_executor(), {line.host, line.port}, metrics)
+struct PolicyOverSlowLine : tests::SlowLine {
+    explicit PolicyOverSlowLine(std::uint64_t bitsPerSecond)
+        : SlowLine(bitsPerSecond)
         , channels(context.get_executor(), {})
         , relayed(client,
                   channels,
@@ -78,13 +64,6 @@
     /** The time limit for the revocation of keys, 5 s, less 0.7 s for the answer's way. */
     static constexpr std::chrono::milliseconds ConfirmationLifetime{4300};
 
-    boost::asio::io_context context{1};
-    metrics::Registry metrics;
-    soak::Store store;
-    std::unique_ptr<http::Server> server;
-    standins::Link link;
-    standins::Endpoint line;
-    platform::StoreClient client;
     rpc::ChannelPool channels;
     RelayedStore relayed;
     batch::PolicyHolder holder;
@@ -95,7 +74,7 @@
 
 TEST_CASE("An entry that starts reads a configuration for which its line needs longer than for a usual call")
 {
-    SlowLine entry(4'000'000);
+    PolicyOverSlowLine entry(4'000'000);
     entry.configure(1, 400'000);
     entry.feed->start();
     REQUIRE(entry.runUntilInForce(1, 10s));
@@ -103,7 +82,7 @@
 
 TEST_CASE("A configuration that becomes too large for a usual call is in force all the same, and is confirmed from then on")
 {
-    SlowLine entry(2'000'000);
+    PolicyOverSlowLine entry(2'000'000);
     entry.configure(1, 1'000);
     entry.feed->start();
     REQUIRE(entry.runUntilInForce(1, 10s));
