agent: Keep a crash until the leader knows the next incarnation

An executor may start again under its id. If a list of runs shows that before its first heartbeat does, the agent still goes by the incarnation that has crashed. Orders for this one which the leader had sent before were then taken for the leader's word that the crash is recorded, and the crash was forgotten: a task could crash that executor without being counted.

Only orders for a later incarnation show that the crash is recorded, since the leader publishes them after it has recorded the round that took the report. A crash is now also reported at once instead of with the next held call.

The new test was run on the code before and failed: no crash was told.

--- a/src/batch/agent.h
+++ b/src/batch/agent.h
@@ -336,8 +336,11 @@
         m_ordersToken = reply.token;
         mergePayloads(reply.orders);
         m_orders = reply.orders;
-        // Orders for this incarnation are sent after the leader has recorded what the report of it told.
-        m_crashed.clear();
+        // Orders for an incarnation are sent after the leader has recorded what the first report of it told; those for one that has crashed
+        // may be older.
+        if (m_report->incarnation != m_crashedIncarnation) {
+            m_crashed.clear();
+        }
         std::erase_if(m_barred, [&](const RunId &run) {
             return !isOrdered(run) && !isStopOrdered(run);
         });
@@ -585,6 +588,7 @@
                    {{"instance", m_crashedIncarnation.instance}, {"runs", std::to_string(m_possiblyRunning.size())}});
         m_crashed.insert(m_possiblyRunning.begin(), m_possiblyRunning.end());
         m_possiblyRunning.clear();
+        markChanged();
     }
 
     /** The executor has restarted without having announced it yet: discards what is known of the earlier incarnation. */
--- a/tests/batch/agent_test.cpp
+++ b/tests/batch/agent_test.cpp
@@ -158,3 +158,27 @@
     });
     REQUIRE(fixture.calls.back().crashed.empty());
 }
+
+TEST_CASE("A crash that only a list of runs has shown is told even if newer orders for the crashed incarnation come first")
+{
+    // The leader learned nothing of the crash, and started the task once more for each.
+    std::uint64_t version = 0;
+    AgentFixture fixture([&](const batch::SyncCall &) {
+        return AgentFixture::order(AgentFixture::run("job", 1), 3, ++version, 5s);
+    });
+    fixture.runUntil([&] {
+        return !fixture.calls.empty() && !fixture.calls.back().running.empty();
+    });
+    fixture.executor.listing.running.clear();
+    fixture.executor.listing.born = 2;
+    fixture.runUntil([&] {
+        return fixture.calls.back().running.empty();
+    });
+    fixture.runFor(100ms);
+    REQUIRE(fixture.calls.back().crashed == std::vector<batch::RunId>{AgentFixture::run("job", 1)});
+    fixture.announce({"i-1", 2});
+    fixture.runUntil([&] {
+        return fixture.calls.back().report.incarnation.born == 2;
+    });
+    REQUIRE(fixture.calls.back().crashed == std::vector<batch::RunId>{AgentFixture::run("job", 1)});
+}
