--- a/src/batch/relayed_store.h
+++ b/src/batch/relayed_store.h
@@ -220,7 +220,7 @@
      * Added to the wait of a relayed follow call, for the time that a large answer takes on the peer's line and on this one. A peer that
      * doesn't reach the store says so earlier, and the channel notices one that is gone.
      */
-    static constexpr std::chrono::milliseconds FollowMargin{6000};
+    static constexpr std::chrono::milliseconds FollowMargin{30'000};
     /** A call with less time than this left is not relayed. */
     static constexpr std::chrono::milliseconds MinTimeLeft{40};
     /** After all peers have failed, calls fail immediately for this long instead of waiting for every peer again. */
--- a/tests/platform/policy_feed_test.cpp
+++ b/tests/platform/policy_feed_test.cpp
@@ -94,3 +94,13 @@
         REQUIRE(entry.holder.isCurrent(runtime::Clock::now()));
     }
 }
+
+TEST_CASE("A configuration that an entry's line carries for longer than the policy stays confirmed comes into force in the end")
+{
+    PolicyOverSlowLine entry(600'000);
+    entry.configure(1, 1'000);
+    entry.feed->start();
+    REQUIRE(entry.runUntilInForce(1, 10s));
+    entry.configure(2, 450'000);
+    REQUIRE(entry.runUntilInForce(2, 30s));
+}
