batch: Suspect only tasks that had just begun when their executor crashed

Now a task is a suspect only if it had just begun. What had been running is a bystander, also when nothing else had just begun, and is given up after the fourth crash only. Crashes are counted by task, so that a gang is given up for one of its tasks and not for the number of its hosts.

--- a/src/batch/crash_blame.cpp
+++ b/src/batch/crash_blame.cpp
@@ -19,36 +19,58 @@
     return "unknown";
 }
 
-CrashBlame blameFor(std::size_t unit, const std::vector<CrashedUnit> &units)
+CrashBlame blameFor(const CrashedUnit &run, const std::vector<CrashedUnit> &runs)
 {
-    std::set<std::size_t> justBegun;
-    for (const auto &crashed : units) {
-        if (!crashed.wasListed) {
-            justBegun.insert(crashed.unit);
-        }
-    }
-    if (justBegun.empty()) {
-        return CrashBlame::Shared;
-    }
-    if (!justBegun.contains(unit)) {
+    if (run.wasListed) {
         return CrashBlame::Bystander;
     }
-    return justBegun.size() == 1 ? CrashBlame::Sole : CrashBlame::Shared;
+    const bool isSole = std::all_of(runs.begin(), runs.end(), [&](const CrashedUnit &other) {
+        return other.wasListed || other.unit == run.unit;
+    });
+    return isSole ? CrashBlame::Sole : CrashBlame::Shared;
+}
+
+bool addCrash(Crashes &crashes, const Crash &crash)
+{
+    const bool isKnown = std::any_of(crashes.begin(), crashes.end(), [&](const Crash &known) {
+        return known.attempt == crash.attempt && known.task == crash.task;
+    });
+    if (!isKnown) {
+        crashes.push_back(crash);
+    }
+    return !isKnown;
 }
 
-bool isGivenUp(const Crashes &crashes)
+std::size_t countCrashes(const Crashes &crashes, std::uint32_t task)
+{
+    return static_cast<std::size_t>(std::count_if(crashes.begin(), crashes.end(), [task](const Crash &crash) {
+        return crash.task == task;
+    }));
+}
+
+bool isSuspect(const Crashes &crashes)
+{
+    return std::any_of(crashes.begin(), crashes.end(), [](const Crash &crash) {
+        return crash.blame != CrashBlame::Bystander;
+    });
+}
+
+bool isGivenUp(const Crashes &crashes, std::uint32_t task)
 {
     std::set<HostId> hosts;
     std::size_t blamed = 0;
     bool wasSole = false;
-    for (const auto &[attempt, crash] : crashes) {
+    for (const auto &crash : crashes) {
+        if (crash.task != task) {
+            continue;
+        }
         if (crash.blame != CrashBlame::Bystander) {
             hosts.insert(crash.host);
             ++blamed;
         }
         wasSole = wasSole || crash.blame == CrashBlame::Sole;
     }
-    return (wasSole && hosts.size() >= CrashLimits::Hosts) || blamed >= CrashLimits::Blamed || crashes.size() >= CrashLimits::All;
+    return (wasSole && hosts.size() >= CrashLimits::Hosts) || blamed >= CrashLimits::Blamed || countCrashes(crashes, task) >= CrashLimits::All;
 }
 
 } // namespace plantainfork::batch
--- a/src/batch/crash_blame.h
+++ b/src/batch/crash_blame.h
@@ -1,14 +1,14 @@
 /**
- * Decides which units are the likely cause when executors crash, and when a unit is given up for it. Pure.
+ * Decides which tasks are the likely cause when executors crash, and when a task is given up for it. Pure.
  *
- * Designed for tasks that crash each executor right after their start, among harmless ones that are lost with them time and again. A run
- * that its executor had never listed began just before the crash, so it is blamed rather than those that had been running for a while.
+ * Designed for tasks that crash each executor right after their start, among harmless ones that are lost with them time and again, and for
+ * executors that crash by themselves. A run that its executor had never listed began just before the crash, so it is blamed rather than
+ * those that had been running for a while.
  */
 #pragma once
 
 #include <cstddef>
 #include <cstdint>
-#include <map>
 #include <string_view>
 #include <vector>
 
@@ -17,27 +17,30 @@
 namespace plantainfork::batch
 {
 
-/** What a crash says about a unit that had a run on the executor. */
+/** What a crash says about a task that the executor ran. */
 enum class CrashBlame : std::uint8_t {
-    /** It was the only one that had begun just before. */
+    /** Its unit was the only one that had begun just before. */
     Sole,
-    /** It was one of several that had begun just before, or nothing had. */
+    /** Its unit was one of several that had begun just before. */
     Shared,
-    /** Others had begun just before, it had not. */
+    /** It had been running for a while. */
     Bystander,
 };
 
-/** A crash of an executor during an attempt of a unit. */
+/** A crash of an executor under a task of a unit. */
 struct Crash {
+    Attempt attempt;
+    /** Index of the task in its step. */
+    std::uint32_t task = 0;
     HostId host;
     CrashBlame blame = CrashBlame::Shared;
 
     auto operator<=>(const Crash &) const = default;
-    MSGPACK_DEFINE(host, blame);
+    MSGPACK_DEFINE(attempt, task, host, blame);
 };
 
-/** The crashes of a unit, by attempt: a member of a gang that crashes more than one executor counts once. */
-using Crashes = std::map<Attempt, Crash>;
+/** The crashes under the tasks of a unit, one for each attempt of a task. */
+using Crashes = std::vector<Crash>;
 
 /** A run that an executor had, or may have had, when it crashed. */
 struct CrashedRun {
@@ -49,16 +52,17 @@
     MSGPACK_DEFINE(run, wasListed);
 };
 
+/** Crashes after which a task is given up. The platform allows it from two on, and allows at most two starts after the third. */
 struct CrashLimits {
-    /** Hosts with a crash for which a unit may be to blame, if it was the only one for one of them. The platform allows to give up after two. */
+    /** Hosts with a crash for which the task may be to blame, if its unit was the only one for one of them. */
     static constexpr std::size_t Hosts = 2;
     /** Crashes for which it may be to blame, in whatever company and on whatever hosts. */
     static constexpr std::size_t Blamed = 3;
-    /** Crashes of any kind. The platform allows at most two starts after the third crash. */
+    /** Crashes of any kind. */
     static constexpr std::size_t All = 4;
 };
 
-/** A unit on a crashed executor, as an opaque number, and whether the executor had listed its run. */
+/** A run on a crashed executor: its unit, as an opaque number, and whether the executor had listed it. */
 struct CrashedUnit {
     std::size_t unit = 0;
     bool wasListed = false;
@@ -66,11 +70,20 @@
 
 [[nodiscard]] std::string_view crashBlameText(CrashBlame blame);
 
-/** The blame of `unit` for the crash of an executor that had the runs of these units, its own among them. */
-[[nodiscard]] CrashBlame blameFor(std::size_t unit, const std::vector<CrashedUnit> &units);
+/** The blame of one of these runs for the crash of the executor that had them all. */
+[[nodiscard]] CrashBlame blameFor(const CrashedUnit &run, const std::vector<CrashedUnit> &runs);
 
-/** Whether a unit with these crashes is given up. Two crashes of a single host may be the host's fault. */
-[[nodiscard]] bool isGivenUp(const Crashes &crashes);
+/** Adds the crash; returns false if one of this attempt of the task is known already. */
+bool addCrash(Crashes &crashes, const Crash &crash);
+
+/** Number of crashes under the task. */
+[[nodiscard]] std::size_t countCrashes(const Crashes &crashes, std::uint32_t task);
+
+/** Whether the unit may be what makes executors crash, rather than what was lost with it. */
+[[nodiscard]] bool isSuspect(const Crashes &crashes);
+
+/** Whether the task is given up. Two crashes of a single host may be the host's fault. */
+[[nodiscard]] bool isGivenUp(const Crashes &crashes, std::uint32_t task);
 
 } // namespace plantainfork::batch
 
--- a/src/batch/fit_search.cpp
+++ b/src/batch/fit_search.cpp
@@ -54,7 +54,7 @@
 bool FitSearch::avoidsAfterCrash(const HostState &state, const Unit &unit) const
 {
     const bool hasCrashedHere = std::any_of(unit.crashes.begin(), unit.crashes.end(), [&](const auto &crash) {
-        return crash.second.host == state.host->id;
+        return crash.host == state.host->id;
     });
     const bool isRecent = state.host->crashedAt != Instant() && m_occupancy.now() - state.host->crashedAt < CrashMemory;
     return hasCrashedHere || (unit.isCrashSuspect() && isRecent);
--- a/src/batch/workload.h
+++ b/src/batch/workload.h
@@ -99,17 +99,17 @@
     StopReason stopReason = StopReason::None;
     /** Hosts on which it has failed; the planner prefers others. */
     std::set<HostId> failedHosts;
-    /** Attempts during which the executor of a member crashed. */
+    /** Crashes of executors under its tasks. */
     Crashes crashes;
 
     [[nodiscard]] bool hasMembers() const
     {
         return !members.empty();
     }
-    /** Whether it may be what makes executors crash; so may everything else that ran on them. */
+    /** Whether it may be what makes executors crash. */
     [[nodiscard]] bool isCrashSuspect() const
     {
-        return !crashes.empty();
+        return isSuspect(crashes);
     }
 };
 
--- a/src/batch/workload_reports.cpp
+++ b/src/batch/workload_reports.cpp
@@ -187,27 +187,32 @@
         const std::size_t number = unit != nullptr ? numbers.try_emplace(UnitRef{&job->second, unit}, i).first->second : i;
         crashed.push_back({number, wasListed});
     }
-    for (const auto &[ref, number] : numbers) {
-        const RunId &run = call.crashed[number].run;
-        const auto [job, unit] = ref;
-        const Crash crash{host.id, blameFor(number, crashed)};
-        if (unit->phase == UnitPhase::Done || isEnded(job->status) || !unit->crashes.emplace(run.attempt, crash).second) {
+    for (std::size_t i = 0; i < call.crashed.size(); ++i) {
+        const RunId &run = call.crashed[i].run;
+        const auto job = m_jobs.find(run.task.job);
+        Unit *unit = job != m_jobs.end() ? job->second.unit(run.task) : nullptr;
+        const Crash crash{run.attempt, run.task.index, host.id, blameFor(crashed[i], crashed)};
+        if (unit == nullptr || unit->phase == UnitPhase::Done || isEnded(job->second.status) || !addCrash(unit->crashes, crash)) {
             continue;
         }
         isChanged = true;
         host.crashedAt = now;
-        job->isDirty = true;
+        job->second.isDirty = true;
         log("executor crashed under run",
-            {{"job", job->spec.id.value()},
+            {{"job", run.task.job.value()},
              {"task", run.task.text()},
              {"attempt", std::to_string(run.attempt.value())},
              {"host", host.id.value()},
              {"blame", std::string(crashBlameText(crash.blame))},
-             {"crashes", std::to_string(unit->crashes.size())},
+             {"crashes", std::to_string(countCrashes(unit->crashes, crash.task))},
              {"runs_on_executor", std::to_string(call.crashed.size())}});
-        if (isGivenUp(unit->crashes)) {
-            log("unit given up", {{"job", job->spec.id.value()}, {"task", run.task.text()}, {"reason", "executors crash under it"}});
-            endJob(*job, JobStatus::Failed, wallNow);
+        if (isGivenUp(unit->crashes, run.task.index)) {
+            log("unit given up",
+                {{"job", run.task.job.value()},
+                 {"task", run.task.text()},
+                 {"reason", "executors crash under it"},
+                 {"blame", std::string(crashBlameText(crash.blame))}});
+            endJob(job->second, JobStatus::Failed, wallNow);
         }
     }
     return isChanged;
