batch: Never refuse a job that this entry may have recorded

The same write through a peer met the job itself, 412 (12.456 s), and the relayed store gave back only this Conflict. submit() took that as "not written", wanted to read the job, and had no way to the store: by the code, another call's failure had just shut the way through peers for half a second, and its own way was shut too. So it wrote once more, which was never sent, and answered 503 with 2.1 s left. The repeats did the same (Conflict, no read, NotSent), and the last was refused for too little time.

Now what a conflict met counts as the job until a read shows that it isn't there, and the entry keeps trying until then or the caller's deadline. A read that shows no job after a conflict settles it: the guard failed, and the policy's revisions never come back, so no earlier write with this guard or an older one can be carried out late. The entry also remembers for 30 s, the longest that callers wait, which jobs it may have recorded (RecentSubmissions), and answers their repeats 504 where it would have said 503: policy not confirmed, store out of reach, too little time left, a repeat after a 200. Any other job is still refused at once, with Retry-After; the entry asks nobody for that.

Not covered: a repeat that reaches another entry, which has no way to the store and knows nothing of the first try, still gets 503 (GUARANTEES.md says so).

Evidence: refused_though_recorded_test runs the real relayed store over a peer; on the old handler 6 of its 7 cases fail, the seventh being of the new class alone. batch_test (73 cases) and platform_test (9) pass.

--- a/src/batch/job_request_handler.h
+++ b/src/batch/job_request_handler.h
@@ -17,6 +17,7 @@
 #include "batch/messages.h"
 #include "batch/model.h"
 #include "batch/policy_holder.h"
+#include "batch/recent_submissions.h"
 #include "batch/records.h"
 #include "log/log.h"
 #include "metrics/registry.h"
@@ -46,7 +47,7 @@
     NoSuchQueue,
     UnknownKey,
     Invalid,
-    /** The request certainly had no effect. */
+    /** The request certainly had no effect, and as far as this entry knows no earlier one for the same job either. */
     Refused,
     /** The request may have taken effect or may still do so; a repeat with the same id gives a definite answer. */
     Unclear,
@@ -93,13 +94,13 @@
 
     asio::awaitable<Answer> submit(Caller caller, base::JobId id, Submission submission)
     {
-        bool mayBeApplied = false;
         std::string reason = "too little time left";
         while (hasTime(caller)) {
             if (auto refusal = checkCaller(caller, id.value())) {
-                if (!mayBeApplied || refusal->kind != AnswerKind::Refused) {
+                if (refusal->kind != AnswerKind::Refused || !m_recent.mayBeRecorded(id, runtime::Clock::now())) {
                     co_return *refusal;
                 }
+                reason = refusal->reason;
                 break;
             }
             const auto policy = m_policy.policy();
@@ -108,16 +109,21 @@
                 co_return Answer{AnswerKind::Invalid, {}, 0, {}, error};
             }
             const store::Write guard = m_policy.guard();
+            m_recent.begin(id);
             const auto result = co_await writeIf(guard, keys::job(id, keys::JobPart::Spec), encodeSpec(caller, id, queue, *policy, submission), caller);
             reason = result.reason;
+            if (result.outcome == store::WriteOutcome::NotSent) {
+                m_recent.endUnsent(id);
+            } else {
+                // Also after a conflict: what it met may be the job, recorded by an earlier try, here or at another entry, or by this very
+                // write, which a relayed store sends twice.
+                m_recent.end(id, guard.expected, runtime::Clock::now());
+            }
             if (result.outcome == store::WriteOutcome::Applied) {
                 logRequest("job accepted", id, caller, policy->version, "written");
                 co_return Answer{AnswerKind::Accepted, {}, 0, {}, ""};
             }
-            if (result.outcome == store::WriteOutcome::Unknown) {
-                mayBeApplied = true;
-            }
-            if (result.outcome == store::WriteOutcome::NotSent && !mayBeApplied) {
+            if (result.outcome == store::WriteOutcome::NotSent && !m_recent.mayBeRecorded(id, runtime::Clock::now())) {
                 break;
             }
             if (result.outcome == store::WriteOutcome::Unknown || result.outcome == store::WriteOutcome::NotSent) {
@@ -125,19 +131,25 @@
             }
             if (result.outcome == store::WriteOutcome::Conflict) {
                 const auto known = co_await m_store.readPrefix(keys::jobPrefix(id), storeDeadlineFor(caller));
-                if (known.ok() && !known->entries.empty()) {
+                if (!known.ok()) {
+                    reason = std::string(known.status().message());
+                    co_await runtime::sleepFor(RetryDelay);
+                    continue;
+                }
+                if (!known->entries.empty()) {
                     logRequest("job accepted", id, caller, policy->version, "known already");
                     co_return Answer{AnswerKind::Accepted, {}, 0, {}, ""};
                 }
-                if (known.ok() && guard.expected == m_policy.guard().expected) {
+                // It was the guard that failed, and revisions never come back: no earlier write with this guard can be carried out any more.
+                m_recent.ruleOut(id, guard.expected);
+                if (guard.expected == m_policy.guard().expected) {
                     co_await m_policy.changed(std::min(storeDeadlineFor(caller), runtime::Clock::now() + PolicyWatchDelay));
                 }
-                // Every earlier write requires a policy that is no longer in force, so none of them can be applied any more.
-                mayBeApplied = mayBeApplied && !(known.ok() && guard.expected != m_policy.guard().expected);
             }
         }
-        logRequest(mayBeApplied ? "job unclear" : "job refused", id, caller, 0, reason);
-        co_return Answer{mayBeApplied ? AnswerKind::Unclear : AnswerKind::Refused, {}, 0, RetryAfter, reason};
+        const bool isUnclear = m_recent.mayBeRecorded(id, runtime::Clock::now());
+        logRequest(isUnclear ? "job unclear" : "job refused", id, caller, 0, reason);
+        co_return Answer{isUnclear ? AnswerKind::Unclear : AnswerKind::Refused, {}, 0, RetryAfter, reason};
     }
 
     asio::awaitable<Answer> status(Caller caller, base::JobId id)
@@ -240,6 +252,8 @@
     /** Timeout of one store call; shorter than a caller's deadline, to leave time for a retry on a new connection. */
     static constexpr std::chrono::milliseconds StoreCallTimeout{1000};
     static constexpr std::chrono::seconds RetryAfter{1};
+    /** How long a job that this entry may have recorded is remembered; callers wait, and so repeat their requests, for 30 s at most. */
+    static constexpr std::chrono::seconds RecentLife{30};
 
     static bool hasTime(const Caller &caller)
     {
@@ -350,6 +364,7 @@
     PolicyHolder &m_policy;
     metrics::Registry &m_metrics;
     AskPending m_askPending;
+    RecentSubmissions m_recent{RecentLife};
 };
 
 } // namespace plantainfork::batch
--- a/src/batch/relayed_store.h
+++ b/src/batch/relayed_store.h
@@ -168,6 +168,7 @@
         co_return reply->changes;
     }
 
+    /** After a direct call that ended without an answer, Conflict may mean that this call was carried out: only a read can tell. */
     boost::asio::awaitable<store::WriteResult> transact(std::vector<store::Write> writes, runtime::Instant deadline)
     {
         store::WriteResult directResult;
--- /dev/null
+++ b/tests/batch/refused_though_recorded_test.cpp
@@ -0,0 +1,239 @@
+/**
+ * A caller was told that its job never runs (503), and the job ran: an entry's write of it had been carried out without an answer, the same
+ * write through a peer met it as a conflict, and then neither could be read.
+ */
+#include <catch2/catch.hpp>
+
+#include <boost/asio/io_context.hpp>
+
+#include "batch/job_request_handler.h"
+#include "batch/recent_submissions.h"
+#include "batch/relayed_store.h"
+#include "rpc/server.h"
+#include "support/memory_store.h"
+#include "support/run.h"
+
+using namespace plantainfork;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+using RelayedStore = batch::RelayedStore<tests::MemoryStore>;
+
+/** An entry with its own way to the store and one through a peer, both to be cut by the test. */
+struct Entry {
+    explicit Entry(std::shared_ptr<tests::MemoryData> data)
+        : direct(data)
+        , peer(data)
+        , server(std::move(*rpc::Server::create(context.get_executor(), "127.0.0.1", 0, {})))
+        , channels(context.get_executor(), {})
+        , relayed(direct,
+                  channels,
+                  [this] {
+                      return std::vector<wire::Address>{{"127.0.0.1", server->port()}};
+                  })
+        , policy(context.get_executor(), ConfirmationLifetime)
+        , handler(relayed, policy, metrics, []() -> boost::asio::awaitable<std::optional<batch::PendingReply>> {
+            co_return std::nullopt;
+        })
+    {
+        rpc::handleCall<batch::RelayCall>(*server, [this](batch::RelayCall call) {
+            return serve(std::move(call));
+        });
+        server->start();
+    }
+
+    boost::asio::awaitable<absl::StatusOr<batch::RelayReply>> serve(batch::RelayCall call)
+    {
+        auto reply = co_await batch::serveRelay(peer, std::move(call));
+        ++callsServed;
+        if (callsServed == peerCalls) {
+            peer.setDown(true);
+        }
+        co_return reply;
+    }
+
+    /** Puts a policy with one queue in force; `guard` is its condition in the store. */
+    void setPolicy(store::Write guard)
+    {
+        auto next = std::make_shared<batch::Policy>();
+        next->version = 1;
+        batch::Queue queue;
+        queue.id = batch::QueueId("q");
+        queue.host = "h.example";
+        queue.prefix = "/q/";
+        queue.isPublic = true;
+        next->queues[queue.id] = queue;
+        policy.set(next, std::move(guard));
+        policy.confirm(runtime::Clock::now());
+    }
+
+    /** From now on neither way leads to the store. */
+    void cutOff()
+    {
+        direct.setDown(true);
+        peer.setDown(true);
+    }
+
+    batch::Answer submit(const std::string &id, std::chrono::milliseconds patience = 900ms)
+    {
+        batch::Submission submission;
+        submission.payload = "text";
+        submission.steps.emplace_back();
+        return tests::runOn(context, handler.submit({"h.example", "/q/" + id, "", runtime::Clock::now() + patience}, base::JobId(id), submission));
+    }
+
+    static constexpr std::chrono::milliseconds ConfirmationLifetime{4300};
+
+    boost::asio::io_context context{1};
+    tests::MemoryStore direct;
+    tests::MemoryStore peer;
+    std::unique_ptr<rpc::Server> server;
+    rpc::ChannelPool channels;
+    RelayedStore relayed;
+    metrics::Registry metrics;
+    batch::PolicyHolder policy;
+    batch::JobRequestHandler<RelayedStore> handler;
+    /** After this many calls the peer is cut off from the store. */
+    int peerCalls = 0;
+    int callsServed = 0;
+};
+
+/** Writes a policy to the store and returns the condition that it is still in force. */
+store::Write storePolicy(tests::MemoryData &data)
+{
+    store::Write write;
+    write.key = "policy";
+    write.value = "1";
+    store::Write guard;
+    guard.kind = store::Write::Kind::Check;
+    guard.key = write.key;
+    guard.expected = data.transact({write}).written.front().modified;
+    return guard;
+}
+
+bool isRecorded(tests::MemoryData &data, const std::string &id)
+{
+    return !data.read(batch::keys::jobPrefix(base::JobId(id)), true).entries.empty();
+}
+
+struct Site {
+    Site()
+        : entry(data)
+        , other(data)
+    {
+        const store::Write guard = storePolicy(*data);
+        entry.setPolicy(guard);
+        other.setPolicy(guard);
+    }
+
+    std::shared_ptr<tests::MemoryData> data = std::make_shared<tests::MemoryData>();
+    Entry entry;
+    Entry other;
+};
+
+} // namespace
+
+TEST_CASE("A job that its entry recorded without an answer, and met as a conflict through a peer, is never refused")
+{
+    Site site;
+    site.entry.direct.loseAnswers(1);
+    site.entry.peerCalls = 1;
+    REQUIRE(site.entry.submit("a").kind == batch::AnswerKind::Unclear);
+    REQUIRE(isRecorded(*site.data, "a"));
+}
+
+TEST_CASE("A job that its entry recorded without an answer is accepted once the store can be read again")
+{
+    Site site;
+    site.entry.direct.loseAnswers(1);
+    site.entry.peerCalls = 1;
+    REQUIRE(site.entry.submit("a", 3s).kind == batch::AnswerKind::Accepted);
+}
+
+TEST_CASE("A repeat that meets the job as a conflict at another entry, and can't read it, is not refused")
+{
+    Site site;
+    REQUIRE(site.entry.submit("a").kind == batch::AnswerKind::Accepted);
+    site.other.direct.setDown(true);
+    site.other.peerCalls = 1;
+    REQUIRE(site.other.submit("a").kind == batch::AnswerKind::Unclear);
+}
+
+TEST_CASE("A repeat of a job that the same entry may have recorded is not refused while the store can't be reached")
+{
+    Site site;
+    site.entry.direct.loseAnswers(1);
+    site.entry.peerCalls = 1;
+    REQUIRE(site.entry.submit("a").kind == batch::AnswerKind::Unclear);
+    site.entry.cutOff();
+    REQUIRE(site.entry.submit("a").kind == batch::AnswerKind::Unclear);
+    // Too little time for a write.
+    REQUIRE(site.entry.submit("a", 100ms).kind == batch::AnswerKind::Unclear);
+
+    runtime::Clock::pause();
+    runtime::Clock::advance(5s);
+    const bool isCurrent = site.entry.policy.isCurrent(runtime::Clock::now());
+    const auto repeat = site.entry.submit("a").kind;
+    const auto first = site.entry.submit("b").kind;
+    runtime::Clock::resume();
+    REQUIRE_FALSE(isCurrent);
+    REQUIRE(repeat == batch::AnswerKind::Unclear);
+    REQUIRE(first == batch::AnswerKind::Refused);
+}
+
+TEST_CASE("A repeat of an accepted job is not refused while the store can't be reached")
+{
+    Site site;
+    REQUIRE(site.entry.submit("a").kind == batch::AnswerKind::Accepted);
+    site.entry.cutOff();
+    REQUIRE(site.entry.submit("a").kind == batch::AnswerKind::Unclear);
+}
+
+TEST_CASE("A job that certainly isn't recorded is refused at once while others may be")
+{
+    Site site;
+    site.entry.direct.loseAnswers(1);
+    site.entry.peerCalls = 1;
+    REQUIRE(site.entry.submit("a").kind == batch::AnswerKind::Unclear);
+    site.entry.cutOff();
+    const auto begin = runtime::Clock::now();
+    REQUIRE(site.entry.submit("b").kind == batch::AnswerKind::Refused);
+    REQUIRE(runtime::Clock::now() - begin < 300ms);
+    REQUIRE_FALSE(isRecorded(*site.data, "b"));
+}
+
+TEST_CASE("A job is remembered as perhaps recorded from the first write until it is ruled out or its time is over")
+{
+    batch::RecentSubmissions recent(30s);
+    const base::JobId job("a");
+    const auto now = runtime::Clock::now();
+    REQUIRE_FALSE(recent.mayBeRecorded(job, now));
+
+    recent.begin(job);
+    REQUIRE(recent.mayBeRecorded(job, now));
+    recent.endUnsent(job);
+    REQUIRE_FALSE(recent.mayBeRecorded(job, now));
+
+    recent.begin(job);
+    recent.begin(job);
+    recent.end(job, store::Index(7), now);
+    recent.endUnsent(job);
+    REQUIRE(recent.mayBeRecorded(job, now));
+    // A write that required a newer policy may still be carried out.
+    recent.ruleOut(job, store::Index(6));
+    REQUIRE(recent.mayBeRecorded(job, now));
+    recent.ruleOut(job, store::Index(7));
+    REQUIRE_FALSE(recent.mayBeRecorded(job, now));
+    REQUIRE(recent.size() == 0);
+
+    recent.begin(job);
+    recent.end(job, store::Index(7), now);
+    REQUIRE(recent.mayBeRecorded(job, now + 29s));
+    REQUIRE_FALSE(recent.mayBeRecorded(job, now + 30s));
+    const base::JobId next("b");
+    recent.begin(next);
+    recent.end(next, store::Index(7), now + 31s);
+    REQUIRE(recent.size() == 1);
+}
