explain: Tell why a task was given up and why no answer came

A job given up because executors crash under its task was shown as failed, with runs lost because an executor restarted; requests rejected because the entry's policy was not confirmed were shown only for jobs that had not been accepted, without the configuration's size or the time of its reads.

Now the verdict names the attempts, their hosts, how many other runs those executors had, whether the task was alone on the last, and what to do. For requests without a confirmed policy it names, for each entry, the policy in force with its size, the failed reads with the longest time, and a newer policy that another entry had. Late answers, answers that were not delivered and rejected connections are told, too. A submission that is unclear after the job had been accepted is no longer said to have been made by a repeat.

--- a/src/explain/log_line.cpp
+++ b/src/explain/log_line.cpp
@@ -1,5 +1,6 @@
 #include "explain/log_line.h"
 
+#include <charconv>
 #include <cstdio>
 #include <utility>
 
@@ -67,6 +68,14 @@
     return found == fields.end() ? None : found->second;
 }
 
+std::optional<std::int64_t> LogLine::number(const std::string &name) const
+{
+    const std::string &text = field(name);
+    std::int64_t value = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+    return error == std::errc() ? std::optional(value) : std::nullopt;
+}
+
 std::optional<LogLine> parseLine(std::string_view text)
 {
     const auto start = text.find(TimeField);
--- a/src/explain/log_line.h
+++ b/src/explain/log_line.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstdint>
 #include <istream>
 #include <map>
 #include <optional>
@@ -23,6 +24,8 @@
 
     /** Empty when the line has no such field. */
     [[nodiscard]] const std::string &field(const std::string &name) const;
+    /** Empty when the line has no such field, or it is no number. */
+    [[nodiscard]] std::optional<std::int64_t> number(const std::string &name) const;
 };
 
 /** Reads one line; whatever stands before its time, such as a collector's prefix, is left out. Empty: it is cut or no line of a log. */
--- a/src/explain/timeline.cpp
+++ b/src/explain/timeline.cpp
@@ -32,7 +32,9 @@
                                                         "records written again"};
 
 /** What a process believes about its own way to others: these concern the jobs that it has to do with. */
-constexpr std::array<std::string_view, 14> OwnBeliefs{"policy not confirmed",
+constexpr std::array<std::string_view, 19> OwnBeliefs{"policy not confirmed",
+                                                      "policy still not confirmed",
+                                                      "policy watch ended",
                                                       "policy confirmed again",
                                                       "policy in force",
                                                       "store turned this entry away, going through peers",
@@ -45,6 +47,9 @@
                                                       "executor left",
                                                       "executor reached",
                                                       "executor not reached",
+                                                      "executor crashed",
+                                                      "executor restarted unannounced",
+                                                      "connection rejected",
                                                       "daemon starting"};
 
 /** What the scheduler believes about a host: these concern the jobs that ran there. */
@@ -72,6 +77,59 @@
     return parts;
 }
 
+/** The job that a line is about; an answer that could not be delivered names it only in its target. */
+std::string jobOf(const LogLine &line)
+{
+    if (line.event != "answer not delivered") {
+        return line.field("job");
+    }
+    const std::string target = line.field("target").substr(0, line.field("target").find('?'));
+    return target.substr(target.rfind('/') + 1);
+}
+
+bool isUnconfirmed(const LogLine &line)
+{
+    return line.event == "request refused" && line.field("reason") == "policy not confirmed";
+}
+
+/** Since when the policy was not confirmed at each entry that refused requests about the job for that reason. */
+std::map<std::string, LogTime> unconfirmedSince(const std::vector<LogLine> &jobLines)
+{
+    std::map<std::string, LogTime> since;
+    for (const auto &line : jobLines) {
+        if (isUnconfirmed(line)) {
+            const LogTime confirmed = line.time - std::chrono::milliseconds(line.number("age_ms").value_or(0));
+            const auto [entry, isNew] = since.emplace(line.field("member"), confirmed);
+            entry->second = std::min(entry->second, confirmed);
+        }
+    }
+    return since;
+}
+
+/** The lines of the newest policy in force by then at each of the members, and of the newest at any entry. */
+std::set<const LogLine *> policiesInForce(const std::vector<LogLine> &lines, const std::map<std::string, LogTime> &members, LogTime until)
+{
+    std::map<std::string, const LogLine *> newest;
+    for (const auto &line : lines) {
+        if (line.event != "policy in force" || line.time > until) {
+            continue;
+        }
+        for (const auto &member : {line.field("member"), std::string()}) {
+            const auto [entry, isNew] = newest.emplace(member, &line);
+            if (line.number("revision") > entry->second->number("revision")) {
+                entry->second = &line;
+            }
+        }
+    }
+    std::set<const LogLine *> found;
+    for (const auto &[member, line] : newest) {
+        if (member.empty() || members.contains(member)) {
+            found.insert(line);
+        }
+    }
+    return found;
+}
+
 /** Lines of one attempt belong together; those without an attempt concern the whole job. */
 std::string attemptOf(const LogLine &line)
 {
@@ -128,21 +186,26 @@
     LogTime first = LogTime::max();
     LogTime last = LogTime::min();
     for (const auto &line : lines) {
-        if (line.field("job") != job) {
+        if (jobOf(line) != job) {
             continue;
         }
         timeline.lines.push_back(line);
+        timeline.lines.back().fields["job"] = job;
         members.insert(line.field("member"));
         hosts.merge(splitAtCommas(line.field("hosts")));
         first = std::min(first, line.time);
         last = std::max(last, line.time);
     }
     members.insert(hosts.begin(), hosts.end());
+    const auto unconfirmed = unconfirmedSince(timeline.lines);
+    const auto policies = unconfirmed.empty() ? std::set<const LogLine *>() : policiesInForce(lines, unconfirmed, last);
     for (const auto &line : lines) {
-        const bool isMeanwhile = line.field("job").empty() && line.time + Before >= first && line.time <= last;
+        const auto since = unconfirmed.find(line.field("member"));
+        const LogTime begin = since == unconfirmed.end() ? first : std::min(first, since->second);
+        const bool isMeanwhile = jobOf(line).empty() && line.time + Before >= begin && line.time <= last;
         const bool isBelief = isOneOf(SharedBeliefs, line.event) || (isOneOf(OwnBeliefs, line.event) && members.contains(line.field("member")))
             || (isOneOf(HostBeliefs, line.event) && hosts.contains(line.field("host")));
-        if (isMeanwhile && isBelief) {
+        if ((isMeanwhile && isBelief) || policies.contains(&line)) {
             timeline.lines.push_back(line);
         }
     }
--- a/src/explain/verdict.cpp
+++ b/src/explain/verdict.cpp
@@ -113,6 +113,155 @@
     return text;
 }
 
+/** "1 answer", "2 answers". */
+std::string counted(std::size_t count, const std::string &what)
+{
+    return std::to_string(count) + " " + what + (count == 1 ? "" : "s");
+}
+
+std::string besideText(const LogLine &crash)
+{
+    const auto runs = crash.number("runs_on_executor");
+    if (!runs) {
+        return "";
+    }
+    // An agent tells of all runs since its last report was recorded, so that there may be some of an earlier crash among them.
+    const auto others = static_cast<std::size_t>(std::max<std::int64_t>(*runs - 1, 0));
+    return others == 0 ? " (with no other run there)" : " (with at most " + counted(others, "other run") + " there)";
+}
+
+std::string crashList(const std::vector<const LogLine *> &crashes, const std::string &task)
+{
+    std::string text;
+    std::int64_t total = 0;
+    for (const auto *crash : crashes) {
+        text += text.empty() ? "" : ", ";
+        text += crash->field("task") == task ? "" : "task " + crash->field("task") + ", ";
+        text += "attempt " + crash->field("attempt") + " on " + crash->field("host") + besideText(*crash);
+        total = crash->field("task") == task ? std::max(total, crash->number("crashes").value_or(0)) : total;
+    }
+    const auto told = static_cast<std::int64_t>(crashes.size());
+    return text + (total > told ? "; of " + std::to_string(total) + " crashes, these logs tell of " + std::to_string(told) : "");
+}
+
+/** Whether executors crashed under the job, and what to do when it was given up for that. */
+std::string crashText(const Timeline &timeline)
+{
+    const auto crashes = own(timeline, "executor crashed under run");
+    const auto ends = own(timeline, "unit given up");
+    if (ends.empty()) {
+        return crashes.empty()
+            ? ""
+            : " Executors crashed under it, but it was not given up in these logs: " + crashList(crashes, crashes.front()->field("task")) + ".";
+    }
+    const std::string task = ends.back()->field("task");
+    std::string text = " It was given up, as executors crashed under its task " + task + ": ";
+    text += (crashes.empty() ? "no line tells which" : crashList(crashes, task)) + ". ";
+    if (ends.back()->field("was_alone") == "true") {
+        return text
+            + "Nothing else ran on the last of these executors, so the task itself is the likely cause. "
+              "Don't submit it again before its program or input has been corrected: each start takes an executor down with all that runs there.";
+    }
+    return text
+        + "Other work ran on the last of these executors, too, so that may be the cause, or the hosts. "
+          "Look for jobs with 'executor crashed under run' on the same hosts at these times; one that was there each time is the more likely cause.";
+}
+
+std::string policyText(const LogLine &policy)
+{
+    return "version " + policy.field("version") + " in force, " + policy.field("queues") + " queues, "
+        + (policy.field("bytes").empty() ? "size not logged" : policy.field("bytes") + " bytes");
+}
+
+/** The newest policy in force by then at that member, or at any other. */
+const LogLine *policyAt(const Timeline &timeline, const std::string &member, bool isMember, LogTime until)
+{
+    const LogLine *newest = nullptr;
+    for (const auto &line : timeline.lines) {
+        const bool isCandidate = line.event == "policy in force" && line.time <= until && (line.field("member") == member) == isMember;
+        if (isCandidate && (newest == nullptr || line.number("revision") > newest->number("revision"))) {
+            newest = &line;
+        }
+    }
+    return newest;
+}
+
+/** The member's reads of the policy that failed: how many, why, and the longest time of one. */
+std::string failedReadsText(const Timeline &timeline, const std::string &member)
+{
+    std::size_t count = 0;
+    std::string reason;
+    std::optional<std::int64_t> longest;
+    for (const auto &line : timeline.lines) {
+        const bool isFailedRead = line.event == "policy watch ended" || line.event == "policy not confirmed" || line.event == "policy still not confirmed";
+        if (isFailedRead && line.field("member") == member) {
+            ++count;
+            reason = line.field("reason");
+            longest = std::max(longest, line.number("took_ms"));
+        }
+    }
+    if (count == 0) {
+        return "no failed read is logged there";
+    }
+    return counted(count, "failed read") + (count == 1 ? " is" : " are") + " logged there (" + reason + "; "
+        + (longest ? "the longest took " + std::to_string(*longest) + " ms" : "their time is not logged") + ")";
+}
+
+std::string unconfirmedText(const Timeline &timeline)
+{
+    std::map<std::string, std::vector<const LogLine *>> refusals;
+    std::size_t count = 0;
+    for (const auto *line : own(timeline, "request refused")) {
+        if (line->field("reason") == "policy not confirmed") {
+            refusals[line->field("member")].push_back(line);
+            ++count;
+        }
+    }
+    std::string text;
+    for (const auto &[member, lines] : refusals) {
+        const LogLine &last = *lines.back();
+        const std::string age = last.field("age_ms") + " ms without a confirmation";
+        text += text.empty() ? "" : ". ";
+        text += member + (lines.size() == 1 ? " (once, after " : " (" + std::to_string(lines.size()) + " times, the last after ") + age + "): ";
+        const auto *policy = policyAt(timeline, member, true, last.time);
+        text += (policy == nullptr ? "no line tells of its policy" : policyText(*policy)) + "; " + failedReadsText(timeline, member);
+        const auto *other = policyAt(timeline, member, false, last.time);
+        if (other != nullptr && (policy == nullptr || other->number("revision") > policy->number("revision"))) {
+            text += ". Meanwhile " + other->field("member") + " had " + policyText(*other);
+        }
+    }
+    return count == 0
+        ? ""
+        : " " + counted(count, "request") + " about it " + (count == 1 ? "was" : "were") + " refused, as the entry's policy was not confirmed: " + text + ".";
+}
+
+/** Answers that were ready but didn't reach their caller. */
+std::string undeliveredText(const Timeline &timeline)
+{
+    std::string text;
+    if (const auto late = own(timeline, "answer late"); !late.empty()) {
+        const LogLine &last = *late.back();
+        text += " " + counted(late.size(), "answer") + " came after " + (late.size() == 1 ? "its caller" : "their callers")
+            + " had given up: " + (late.size() == 1 ? "" : "the last, ") + last.field("call") + " by " + last.field("member") + " after "
+            + last.field("took_ms") + " ms, " + last.field("late_ms") + " ms late.";
+    }
+    if (const auto undelivered = own(timeline, "answer not delivered"); !undelivered.empty()) {
+        const LogLine &last = *undelivered.back();
+        text += " " + counted(undelivered.size(), "answer") + " could not be delivered: " + (undelivered.size() == 1 ? "" : "the last, ") + last.field("status")
+            + " by " + last.field("member") + " (" + last.field("reason") + ").";
+    }
+    std::map<std::string, std::size_t> rejections;
+    for (const auto &line : timeline.lines) {
+        if (line.event == "connection rejected") {
+            ++rejections[line.field("member")];
+        }
+    }
+    for (const auto &[member, count] : rejections) {
+        text += " " + member + " rejected " + (count == 1 ? "a connection" : std::to_string(count) + " connections") + " meanwhile, as its limit was reached.";
+    }
+    return text;
+}
+
 std::vector<Phase> phasesOf(const Timeline &timeline, const LogLine &accepted)
 {
     std::vector<Phase> phases;
@@ -162,18 +311,21 @@
     std::string text;
     if (!unclear.empty()) {
         text = std::to_string(unclear.size()) + " answers left it open whether it was accepted: " + unclear.front()->field("why") + ". ";
-        if (!accepted.empty()) {
+        if (!accepted.empty() && accepted.front()->time < unclear.front()->time) {
+            text += "It had been accepted before. ";
+        } else if (!accepted.empty()) {
             const bool wasWritten = accepted.front()->field("why") == "known already";
             text += wasWritten ? "The write had taken effect, as a repeat found the job known. " : "The write had not taken effect; a repeat made it. ";
         }
     }
     if (!accepted.empty()) {
-        return text + acceptedText(timeline, *accepted.front());
-    }
-    if (!refusals.empty()) {
-        return text + refusalText(timeline, refusals);
+        text += acceptedText(timeline, *accepted.front());
+    } else if (!refusals.empty()) {
+        text += refusalText(timeline, refusals);
+    } else {
+        text += timeline.lines.empty() ? "No line tells of " + timeline.job + "." : "No entry's answer for " + timeline.job + " is in these logs.";
     }
-    return text + (timeline.lines.empty() ? "No line tells of " + timeline.job + "." : "No entry's answer for " + timeline.job + " is in these logs.");
+    return text + crashText(timeline) + unconfirmedText(timeline) + undeliveredText(timeline);
 }
 
 } // namespace plantainfork::explain
--- a/tests/explain/explain_test.cpp
+++ b/tests/explain/explain_test.cpp
@@ -1,4 +1,4 @@
-/** Causes of three failed requests, found from logs as they were written: two of days on the users' bench, one of the soak. */
+/** Causes of failed requests, found from logs as they were written: four of days on the users' bench, one of the soak. */
 #include <fstream>
 #include <sstream>
 
@@ -63,6 +63,121 @@
     REQUIRE(has(text, "ended as complete 1842 ms later"));
 }
 
+TEST_CASE("A job that was given up: executors crashed under its task")
+{
+    const auto timeline = explain::gather(readRecorded("crashed.log").lines, "6dbdd822aee12624");
+    const auto text = explain::verdict(timeline);
+    INFO(text);
+    REQUIRE(has(text, "ended as failed 6779 ms later"));
+    REQUIRE(has(text,
+                "It was given up, as executors crashed under its task 6dbdd822aee12624.0.0.0: attempt 1 on side-azrou-corral-2 (with at most 4 other "
+                "runs there), attempt 2 on side-ifrane-pens-1 (with no other run there)."));
+    REQUIRE(has(text, "Nothing else ran on the last of these executors, so the task itself is the likely cause."));
+    REQUIRE(has(text, "Don't submit it again before its program or input has been corrected"));
+    SECTION("what the agents of its hosts saw is told; a crash elsewhere, under another job, is not")
+    {
+        const auto story = explain::describe(timeline);
+        INFO(story);
+        REQUIRE(has(story, "side-azrou-corral-2  executor crashed  instance=i-eb5e43d719  runs=5"));
+        REQUIRE(has(story, "side-ifrane-pens-1  executor crashed  instance=i-9046ff59e0  runs=1"));
+        REQUIRE_FALSE(has(story, "9a92c435af42c93e"));
+        REQUIRE_FALSE(has(story, "side-azrou-corral-1  executor crashed"));
+    }
+}
+
+TEST_CASE("A job that was given up after three crashes beside other work may not be the cause")
+{
+    const std::string start = "time=2026-01-31T12:00:0";
+    const std::string crash = "Z severity=info event=\"executor crashed under run\" role=entry member=e job=a task=a.0.0.1";
+    const std::vector<explain::LogLine> lines{
+        line(start + "2.000000" + crash + " attempt=2 host=h2 crashes=2 runs_on_executor=2"),
+        line(start + "3.000000" + crash + " attempt=4 host=h1 crashes=3 runs_on_executor=3"),
+        line(start
+             + "3.000001Z severity=info event=\"unit given up\" role=entry member=e job=a task=a.0.0.1 reason=\"executors crash under it\" was_alone=false"),
+    };
+    const auto text = explain::verdict(explain::gather(lines, "a"));
+    INFO(text);
+    REQUIRE(has(text, "attempt 2 on h2 (with at most 1 other run there), attempt 4 on h1 (with at most 2 other runs there)"));
+    REQUIRE(has(text, "of 3 crashes, these logs tell of 2"));
+    REQUIRE(has(text, "Other work ran on the last of these executors, too, so that may be the cause"));
+    REQUIRE_FALSE(has(text, "the likely cause"));
+}
+
+TEST_CASE("A job that goes on after a crash under it is not said to have been given up")
+{
+    const auto text = verdictOf("crashed.log", "9a92c435af42c93e");
+    INFO(text);
+    REQUIRE(has(text, "Executors crashed under it, but it was not given up in these logs: attempt 1 on side-azrou-corral-1"));
+}
+
+TEST_CASE("A job about which no answer came: its entries' policy was not confirmed while the configuration was read in vain")
+{
+    const auto text = verdictOf("unconfirmed.log", "76c27bc3201dddc1");
+    INFO(text);
+    REQUIRE(has(text, "ended as complete 18002 ms later"));
+    REQUIRE(has(text, "It had been accepted before"));
+    REQUIRE(has(text, "34 requests about it were refused, as the entry's policy was not confirmed"));
+    REQUIRE(has(text,
+                "edge-midelt-paddock-1 (25 times, the last after 28976 ms without a confirmation): version 9 in force, 2845 queues, size not logged; "
+                "2 failed reads are logged there (no reply before the deadline; their time is not logged)"));
+}
+
+TEST_CASE("A job refused by entries whose policy was not confirmed: the size that is in force there, and what its reads came to")
+{
+    const auto text = verdictOf("unconfirmed.log", "b5854d29eebc7caa");
+    INFO(text);
+    REQUIRE(has(text, "1 answers left it open"));
+    REQUIRE(has(text, "was refused by edge-ifrane-pens-1"));
+    REQUIRE(has(text, "3 requests about it were refused, as the entry's policy was not confirmed"));
+    REQUIRE(has(text, "edge-azrou-corral-2 (once, after 4497 ms without a confirmation)"));
+}
+
+TEST_CASE("An entry whose policy is not confirmed is shown with the time of its reads, and with the newer policy that others have")
+{
+    const std::string start = "time=2026-01-31T12:00:";
+    const std::vector<explain::LogLine> lines{
+        line(start + "01.000000Z severity=info event=\"policy in force\" member=e1 version=7 revision=217 queues=1445 bytes=332557"),
+        line(start + "01.100000Z severity=info event=\"policy in force\" member=e2 version=7 revision=217 queues=1445 bytes=332557"),
+        line(start + "02.000000Z severity=info event=\"policy in force\" member=e2 version=9 revision=381 queues=2845 bytes=653157"),
+        line(start + "13.000000Z severity=warning event=\"policy watch ended\" member=e1 reason=slow took_ms=7000 age_ms=9000"),
+        line(start + "23.200000Z severity=warning event=\"policy not confirmed\" member=e1 reason=slow took_ms=10000 age_ms=19200"),
+        line(start + "33.400000Z severity=warning event=\"policy still not confirmed\" member=e1 reason=slow took_ms=10001 age_ms=29400"),
+        line(start + "33.400000Z severity=warning event=\"policy still not confirmed\" member=e2 reason=other took_ms=20001 age_ms=29400"),
+        line(start + "40.000000Z severity=info event=\"request refused\" member=e1 job=a reason=\"policy not confirmed\" age_ms=36000"),
+        line(start + "41.000000Z severity=info event=\"policy in force\" member=e2 version=11 revision=400 queues=1 bytes=5"),
+    };
+    const auto text = explain::verdict(explain::gather(lines, "a"));
+    INFO(text);
+    REQUIRE(has(text, "e1 (once, after 36000 ms without a confirmation): version 7 in force, 1445 queues, 332557 bytes"));
+    REQUIRE(has(text, "3 failed reads are logged there (slow; the longest took 10001 ms)"));
+    REQUIRE(has(text, "Meanwhile e2 had version 9 in force, 2845 queues, 653157 bytes."));
+}
+
+TEST_CASE("Answers that came too late or could not be delivered are told, and connections that their entry rejected")
+{
+    const std::string start = "time=2026-01-31T12:00:0";
+    const std::vector<explain::LogLine> lines{
+        line(start + "1.000000Z severity=info event=\"job accepted\" role=entry member=e job=000000000000000a why=written"),
+        line(start + "1.500000Z severity=warning event=\"connection rejected\" role=entry member=e reason=\"limit reached\" open=1024"),
+        line(start + "1.600000Z severity=warning event=\"connection rejected\" role=entry member=other reason=\"limit reached\" open=1024"),
+        line(start
+             + "2.000000Z severity=warning event=\"answer late\" role=entry member=e job=000000000000000a call=status outcome=state took_ms=3200 late_ms=200"),
+        line(start
+             + "3.000000Z severity=info event=\"answer not delivered\" role=entry member=e target=/nest/000000000000000a status=503 reason=\"Connection reset "
+               "by peer\""),
+        line(start
+             + "3.000000Z severity=info event=\"answer not delivered\" role=entry member=e target=/nest/000000000000000b status=200 reason=\"Broken pipe\""),
+    };
+    const auto timeline = explain::gather(lines, "000000000000000a");
+    const auto text = explain::verdict(timeline);
+    INFO(text);
+    REQUIRE(has(text, "1 answer came after its caller had given up: status by e after 3200 ms, 200 ms late."));
+    REQUIRE(has(text, "1 answer could not be delivered: 503 by e (Connection reset by peer)."));
+    REQUIRE(has(explain::describe(timeline), "~ 500 ms  e  connection rejected"));
+    REQUIRE(has(text, "e rejected a connection meanwhile, as its limit was reached."));
+    REQUIRE(timeline.lines.size() == 4);
+}
+
 TEST_CASE("An effect never stands before its cause, though machines' clocks differ")
 {
     const std::vector<explain::LogLine> lines{
