explain: Name the reason of the longest failed read

After a watch that was cut off at its limit, the reads that follow fail at once with another reason, which hides the cause. In a trial (450 kB on a line of 0.6 Mbit/s) the watch ended after 7000 ms, and some hundred reads after it with 'no way to the store' after 0 ms. The test with such a line failed before.

--- a/src/explain/verdict.cpp
+++ b/src/explain/verdict.cpp
@@ -186,7 +186,7 @@
     return newest;
 }
 
-/** The member's reads of the policy that failed: how many, why, and the longest time of one. */
+/** The member's reads of the policy that failed: how many, and the longest with its reason; short ones may only follow from it. */
 std::string failedReadsText(const Timeline &timeline, const std::string &member)
 {
     std::size_t count = 0;
@@ -195,9 +195,10 @@
     for (const auto &line : timeline.lines) {
         const bool isFailedRead = line.event == "policy watch ended" || line.event == "policy not confirmed" || line.event == "policy still not confirmed";
         if (isFailedRead && line.field("member") == member) {
+            const auto took = line.number("took_ms");
+            reason = count == 0 || took > longest ? line.field("reason") : reason;
+            longest = std::max(longest, took);
             ++count;
-            reason = line.field("reason");
-            longest = std::max(longest, line.number("took_ms"));
         }
     }
     if (count == 0) {
--- a/tests/explain/explain_test.cpp
+++ b/tests/explain/explain_test.cpp
@@ -142,6 +142,7 @@
         line(start + "13.000000Z severity=warning event=\"policy watch ended\" member=e1 reason=slow took_ms=7000 age_ms=9000"),
         line(start + "23.200000Z severity=warning event=\"policy not confirmed\" member=e1 reason=slow took_ms=10000 age_ms=19200"),
         line(start + "33.400000Z severity=warning event=\"policy still not confirmed\" member=e1 reason=slow took_ms=10001 age_ms=29400"),
+        line(start + "33.600000Z severity=warning event=\"policy still not confirmed\" member=e1 reason=\"no way to the store\" took_ms=0 age_ms=29600"),
         line(start + "33.400000Z severity=warning event=\"policy still not confirmed\" member=e2 reason=other took_ms=20001 age_ms=29400"),
         line(start + "40.000000Z severity=info event=\"request refused\" member=e1 job=a reason=\"policy not confirmed\" age_ms=36000"),
         line(start + "41.000000Z severity=info event=\"policy in force\" member=e2 version=11 revision=400 queues=1 bytes=5"),
@@ -149,7 +150,7 @@
     const auto text = explain::verdict(explain::gather(lines, "a"));
     INFO(text);
     REQUIRE(has(text, "e1 (once, after 36000 ms without a confirmation): version 7 in force, 1445 queues, 332557 bytes"));
-    REQUIRE(has(text, "3 failed reads are logged there (slow; the longest took 10001 ms)"));
+    REQUIRE(has(text, "4 failed reads are logged there (slow; the longest took 10001 ms)"));
     REQUIRE(has(text, "Meanwhile e2 had version 9 in force, 2845 queues, 653157 bytes."));
 }
 
