agent: Count a run as possibly running from before its start is sent

The agent noted that the executor may have a run when the start was answered. An executor that crashes under the run may be back before that answer: the run was left out of what the leader was told, and a harmless run beside it looked as if it had been alone there, so it could be given up in its place. An executor may also list the run as ended before the answer comes: the run was then noted for good, and counted as crashed, or as company of one that had been alone, at a later crash.

Now it is noted before the start is sent, and taken back if the start did nothing and no earlier one of the same run may have.

--- a/src/batch/agent.h
+++ b/src/batch/agent.h
@@ -452,10 +452,13 @@
                 break;
             }
             const RunOrder order = found->second;
+            // The executor may crash, or list the run as ended, before it answers.
+            const bool isFirstStart = m_possiblyRunning.insert(run).second;
             const auto result = co_await m_port.start(order, incarnation, m_token, startDeadline(), runtime::Clock::now() + OrderTimeout);
             const bool mayRun = result.outcome == StartOutcome::Started || result.outcome == StartOutcome::Unknown;
-            if (mayRun && isCurrentIncarnation(incarnation)) {
-                m_possiblyRunning.insert(run);
+            if (!mayRun && isFirstStart && !isListed(run)) {
+                auto &possible = isCurrentIncarnation(incarnation) ? m_possiblyRunning : m_crashed;
+                possible.erase(run);
             }
             if (result.outcome == StartOutcome::Started) {
                 m_starts.add();
--- a/tests/batch/agent_fixture.h
+++ b/tests/batch/agent_fixture.h
@@ -43,8 +43,13 @@
             listing.running.push_back({order.run, "", 0});
             co_return batch::StartResult{batch::StartOutcome::Unknown, "answer lost"};
         }
-        listing.running.push_back({order.run, "", 0});
-        co_return batch::StartResult{batch::StartOutcome::Started, ""};
+        if (!isStartIgnored) {
+            listing.running.push_back({order.run, "", 0});
+        }
+        if (startAnswerDelay.count() > 0) {
+            co_await runtime::sleepFor(startAnswerDelay);
+        }
+        co_return startResult;
     }
 
     boost::asio::awaitable<absl::Status> stop(batch::RunId run, batch::HostIncarnation, base::FencingToken, runtime::Instant)
@@ -79,6 +84,12 @@
     bool isNextStartFailing = false;
     /** As if the agent's process were paused between its first call and the answer. */
     std::chrono::milliseconds firstAnswerDelay{0};
+    /** Time between the beginning of a run and the answer to its start. */
+    std::chrono::milliseconds startAnswerDelay{0};
+    /** The answer to a start. */
+    batch::StartResult startResult{batch::StartOutcome::Started, ""};
+    /** Starts begin nothing. */
+    bool isStartIgnored = false;
 
 private:
     runtime::Instant m_begin = runtime::Clock::now();
--- a/tests/batch/agent_test.cpp
+++ b/tests/batch/agent_test.cpp
@@ -182,3 +182,81 @@
     });
     REQUIRE(fixture.calls.back().crashed == std::vector<batch::RunId>{AgentFixture::run("job", 1)});
 }
+
+TEST_CASE("A run whose start had no answer yet when the executor crashed may have been the cause")
+{
+    AgentFixture fixture([](const batch::SyncCall &) {
+        return AgentFixture::order(AgentFixture::run("job", 1), 3, 1, 5s);
+    });
+    fixture.executor.startAnswerDelay = 200ms;
+    fixture.runUntil([&] {
+        return !fixture.executor.starts.empty();
+    });
+    fixture.executor.listing.running.clear();
+    fixture.announce({"i-2", 2});
+    fixture.runUntil([&] {
+        return fixture.calls.back().report.incarnation.instance == "i-2";
+    });
+    REQUIRE(fixture.calls.back().crashed == std::vector<batch::RunId>{AgentFixture::run("job", 1)});
+    fixture.runFor(300ms);
+    REQUIRE(fixture.calls.back().crashed == std::vector<batch::RunId>{AgentFixture::run("job", 1)});
+}
+
+TEST_CASE("A run that had ended before its start was answered has no part in a later crash")
+{
+    bool isEndTaken = false;
+    AgentFixture fixture([&](const batch::SyncCall &call) {
+        auto reply = AgentFixture::order(AgentFixture::run("job", 1), 3, 1, 5s);
+        isEndTaken = isEndTaken || !call.ended.empty();
+        if (isEndTaken) {
+            reply.orders.version = 2;
+            reply.orders.runs.clear();
+        }
+        return reply;
+    });
+    fixture.executor.startAnswerDelay = 200ms;
+    fixture.runUntil([&] {
+        return !fixture.executor.starts.empty();
+    });
+    fixture.executor.listing.running.clear();
+    fixture.executor.listing.ended.push_back({1, AgentFixture::run("job", 1), batch::EndKind::Failed, ""});
+    fixture.runUntil([&] {
+        return fixture.calls.back().ordersVersion == 2;
+    });
+    fixture.executor.listing.ended.clear();
+    fixture.runFor(300ms);
+    REQUIRE(fixture.executor.starts.size() == 1);
+    fixture.announce({"i-2", 2});
+    fixture.runUntil([&] {
+        return fixture.calls.back().report.incarnation.instance == "i-2";
+    });
+    REQUIRE(fixture.calls.back().crashed.empty());
+}
+
+TEST_CASE("A run that could not even be sent to the executor has no part in its crash")
+{
+    AgentFixture fixture([](const batch::SyncCall &) {
+        return AgentFixture::order(AgentFixture::run("job", 1), 3, 1, 5s);
+    });
+    fixture.executor.startResult = {batch::StartOutcome::Retryable, "not sent"};
+    fixture.executor.isStartIgnored = true;
+    fixture.runUntil([&] {
+        return !fixture.executor.starts.empty();
+    });
+    SECTION("which is known before the next incarnation")
+    {
+        fixture.runFor(20ms);
+    }
+    SECTION("which is known after the next incarnation")
+    {
+        fixture.executor.startAnswerDelay = 200ms;
+        const auto sent = fixture.executor.starts.size();
+        fixture.runUntil([&] {
+            return fixture.executor.starts.size() > sent;
+        });
+    }
+    fixture.announce({"i-2", 2});
+    fixture.runFor(300ms);
+    REQUIRE(fixture.calls.back().report.incarnation.instance == "i-2");
+    REQUIRE(fixture.calls.back().crashed.empty());
+}
