batch: Bound the bytes of a transaction of job states

The leader records up to 15 states in one transaction, within 1.5 s. The states of large jobs may need longer than that on a slow line; the same transaction was then sent again from its start, for good, and nothing was recorded or ordered any more.

Now a transaction is bounded by its bytes, too. A single state that is larger is still sent alone.

--- a/src/batch/state_records.h
+++ b/src/batch/state_records.h
@@ -4,7 +4,7 @@
  */
 #pragma once
 
-#include <algorithm>
+#include <iterator>
 #include <memory>
 #include <string>
 #include <utility>
@@ -37,9 +37,10 @@
     {
         const auto records = encodeChanged(term);
         const auto begin = runtime::Clock::now();
-        for (std::size_t first = 0; first < records.size(); first += SchedulerTiming::RecordsPerTransaction) {
-            const auto last = std::min(first + SchedulerTiming::RecordsPerTransaction, records.size());
-            const Records batchRecords(records.begin() + static_cast<std::ptrdiff_t>(first), records.begin() + static_cast<std::ptrdiff_t>(last));
+        for (auto first = records.begin(); first != records.end();) {
+            const auto last = endOfTransaction(first, records.end());
+            const Records batchRecords(first, last);
+            first = last;
             bool isWritten = co_await writeBatch(term, batchRecords);
             while (!isWritten && !term.isOver) {
                 co_await runtime::sleepFor(SchedulerTiming::RetryDelay);
@@ -77,6 +78,20 @@
 
     static constexpr std::size_t MaxJobsPerCleanup = 8;
 
+    /** The records from `first` on that go into one transaction: at least one, and no more than the store and the line take. */
+    static Records::const_iterator endOfTransaction(Records::const_iterator first, Records::const_iterator end)
+    {
+        std::size_t count = 1;
+        std::size_t bytes = first->second.size();
+        auto last = std::next(first);
+        while (last != end && count < SchedulerTiming::RecordsPerTransaction && bytes + last->second.size() <= SchedulerTiming::BytesPerTransaction) {
+            bytes += last->second.size();
+            ++count;
+            ++last;
+        }
+        return last;
+    }
+
     static Records encodeChanged(Term &term)
     {
         Records records;
--- a/src/batch/term.h
+++ b/src/batch/term.h
@@ -42,6 +42,8 @@
     static constexpr std::chrono::seconds MinTermBeforeHandOver{30};
     /** Records per transaction: the store accepts 32 operations; each record needs two and the lease condition one. */
     static constexpr std::size_t RecordsPerTransaction = 15;
+    /** Bytes of records per transaction, unless a single record is larger: a slow line must take them within StoreCallTimeout. */
+    static constexpr std::size_t BytesPerTransaction = 128 * 1024;
     static constexpr std::chrono::seconds CleanupInterval{5};
 };
 
