batch: Look a job up for as long as its bytes come

A look-up reads the job with its submission, which may have half a megabyte. Its direct read was cut off after 450 ms and the whole look-up after 1 s, and begun again from its start until the caller's time was over: on an idle line of 10 Mbit/s a job of 400 kB was answered after 445 ms, and one of 450 kB not at all. The caller got no answer about an accepted job.

Now the read goes on while bytes come, until the caller's deadline. A silent store is still left after 450 ms.

--- a/src/batch/job_request_handler.h
+++ b/src/batch/job_request_handler.h
@@ -77,7 +77,7 @@
 /** The queue of the host with the longest matching path prefix; null if there is none. */
 [[nodiscard]] const Queue *matchQueue(const Policy &policy, const std::string &host, const std::string &path);
 
-template<store::KeyValueStore Store>
+template<store::ChangeFeed Store>
 class JobRequestHandler
 {
 public:
@@ -146,7 +146,7 @@
             co_return *refusal;
         }
         while (true) {
-            const auto found = co_await lookUp(id, storeDeadlineFor(caller));
+            const auto found = co_await lookUp(id, caller);
             if (found.ok()) {
                 if (auto refusal = checkCaller(caller, id.value())) {
                     co_return *refusal;
@@ -168,7 +168,7 @@
             if (auto refusal = checkCaller(caller, id.value())) {
                 co_return *refusal;
             }
-            const auto found = co_await lookUp(id, storeDeadlineFor(caller));
+            const auto found = co_await lookUp(id, caller);
             if (!found.ok()) {
                 reason = std::string(found.status().message());
                 co_await runtime::sleepFor(RetryDelay);
@@ -305,9 +305,10 @@
     }
 
     /** Reads the job and, if it exists, its state. */
-    asio::awaitable<absl::StatusOr<Answer>> lookUp(base::JobId id, runtime::Instant deadline)
+    asio::awaitable<absl::StatusOr<Answer>> lookUp(base::JobId id, Caller caller)
     {
-        const auto job = co_await m_store.readPrefix(keys::jobPrefix(id), deadline);
+        const store::ReadLimits limits{caller.deadline - ReplyMargin, StoreCallTimeout};
+        const auto job = co_await m_store.readPrefix(keys::jobPrefix(id), limits);
         if (!job.ok()) {
             co_return job.status();
         }
@@ -315,7 +316,7 @@
         if (job->entries.empty()) {
             co_return answer;
         }
-        const auto state = co_await m_store.read(keys::state(id), deadline);
+        const auto state = co_await m_store.read(keys::state(id), storeDeadlineFor(caller));
         if (!state.ok()) {
             co_return state.status();
         }
--- a/tests/platform/policy_feed_test.cpp
+++ b/tests/platform/policy_feed_test.cpp
@@ -1,11 +1,13 @@
 /** How an entry follows the operator's configuration over the lines that it may have. */
 #include <catch2/catch.hpp>
 
+#include "batch/job_request_handler.h"
 #include "batch/relayed_store.h"
 #include "platform/policy_feed_impl.h"
 #include "platform/slow_line.h"
 #include "rpc/channel_pool.h"
 #include "support/run.h"
+#include "wire/codec.h"
 
 using namespace plantainfork;
 using namespace std::chrono_literals;
@@ -94,3 +96,31 @@
         REQUIRE(entry.holder.isCurrent(runtime::Clock::now()));
     }
 }
+
+TEST_CASE("The state of a job for which the line needs longer than for a usual call is told all the same")
+{
+    PolicyOverSlowLine entry(10'000'000);
+    auto policy = std::make_shared<batch::Policy>();
+    batch::Queue queue;
+    queue.id = batch::QueueId("queue");
+    queue.host = "h.example";
+    queue.prefix = "/queue/";
+    queue.isPublic = true;
+    policy->queues[queue.id] = queue;
+    entry.holder.set(policy, {});
+    entry.holder.confirm(runtime::Clock::now());
+    batch::JobSpec spec;
+    spec.id = base::JobId("large");
+    spec.payload = std::string(500'000, 'x');
+    spec.steps.resize(1);
+    entry.store.put(batch::keys::job(spec.id, batch::keys::JobPart::Spec), wire::encode(spec));
+    batch::JobRequestHandler<RelayedStore> handler(entry.relayed,
+                                                   entry.holder,
+                                                   entry.metrics,
+                                                   []() -> boost::asio::awaitable<std::optional<batch::PendingReply>> {
+                                                       co_return std::nullopt;
+                                                   });
+    const batch::Caller caller{"h.example", "/queue/large", "", runtime::Clock::now() + 3s};
+    const auto answer = tests::runOn(entry.context, handler.status(caller, spec.id));
+    REQUIRE(answer.kind == batch::AnswerKind::State);
+}
