--- a/src/batch/agent.h
+++ b/src/batch/agent.h
@@ -452,10 +452,15 @@
                 break;
             }
             const RunOrder order = found->second;
+            // The executor may crash, or list the run as ended, before it answers.
+            const bool isFirstStart = m_possiblyRunning.emplace(run, false).second;
             const auto result = co_await m_port.start(order, incarnation, m_token, startDeadline(), runtime::Clock::now() + OrderTimeout);
             const bool mayRun = result.outcome == StartOutcome::Started || result.outcome == StartOutcome::Unknown;
-            if (mayRun && isCurrentIncarnation(incarnation)) {
-                m_possiblyRunning.emplace(run, false);
+            if (!mayRun && isFirstStart && !isListed(run)) {
+                m_possiblyRunning.erase(run);
+                std::erase_if(m_crashed, [&](const CrashedRun &crashed) {
+                    return crashed.run == run && !isCurrentIncarnation(incarnation);
+                });
             }
             if (result.outcome == StartOutcome::Started) {
                 m_starts.add();
