soak: Let some jobs crash each executor that starts one of their tasks

The soak missed the tasks that crashed executors without end: its executors crashed at random only, never under the same task again.

Now a mark in the payload of some jobs crashes each executor that starts them, 10 ms after the start. It is away for some seconds and comes back under its id with a later birth, or under another id. The ledger counts the crashes under each task: a third start after three crashes breaks budget, and a job that is shown as failed needs two crashes under one of its tasks or enough failed runs. A deadly job that never ends breaks lost, as any job does.

--- a/tests/platform/soak/callers.cpp
+++ b/tests/platform/soak/callers.cpp
@@ -25,6 +25,7 @@
 constexpr unsigned CancelPercent = 12;
 constexpr unsigned RepeatPercent = 10;
 constexpr unsigned HopelessPercent = 5;
+constexpr unsigned DeadlyPercent = 5;
 
 struct Queue {
     const char *name;
@@ -96,7 +97,7 @@
 {
     const Queue &queue = Queues.at(below(Queues.size()));
     JobPlan plan;
-    plan.payload = "payload of " + job;
+    plan.payload = (below(Percent) < DeadlyPercent ? std::string(DeadlyMark) : std::string()) + "payload of " + job;
     StepPlan first;
     first.tasks = 1 + below(4);
     first.isGang = first.tasks > 1 && queue.priority < 2 && below(2) == 0;
--- a/tests/platform/soak/executor.cpp
+++ b/tests/platform/soak/executor.cpp
@@ -19,10 +19,20 @@
 constexpr std::chrono::milliseconds WorkTick{20};
 constexpr std::chrono::milliseconds LateBy{1200};
 constexpr std::chrono::milliseconds CheckpointEvery{500};
+constexpr std::chrono::milliseconds DeadlyAfter{10};
+constexpr std::chrono::milliseconds ShortestAway{2000};
+constexpr std::chrono::milliseconds LongestAway{4000};
 /** The share of its work after which a run that is to fail does so. */
 constexpr double FailsAt = 0.4;
 constexpr double WholePercent = 100.0;
 
+http::Response noAnswer()
+{
+    http::Response none;
+    none.status = http::NoAnswer;
+    return none;
+}
+
 TaskName gangOf(TaskName member)
 {
     member.index = 0;
@@ -51,6 +61,7 @@
     : m_runner(runner)
     , m_floor(floor)
     , m_name(std::move(name))
+    , m_id(m_name)
     , m_rack(std::move(rack))
     , m_bounds(bounds)
     , m_changed(runner)
@@ -65,12 +76,42 @@
         return answer(std::move(request));
     });
     m_server = std::move(*server);
-    crash();
+    beginLife();
     asio::co_spawn(m_runner, announce(), asio::detached);
     asio::co_spawn(m_runner, work(), asio::detached);
 }
 
 void Executor::crash()
+{
+    if (!m_isDown) {
+        forgetAll();
+        beginLife();
+    }
+}
+
+asio::awaitable<void> Executor::die(std::uint64_t life)
+{
+    co_await runtime::sleepFor(DeadlyAfter);
+    if (life != m_life) {
+        co_return;
+    }
+    forgetAll();
+    m_isDown = true;
+    const bool isOdd = m_life % 2 == 1;
+    co_await runtime::sleepFor(isOdd ? LongestAway : ShortestAway);
+    m_isDown = false;
+    m_id = isOdd ? m_name + "-" + std::to_string(m_life) : m_id;
+    beginLife();
+}
+
+void Executor::beginLife()
+{
+    m_bornAt = runtime::Clock::now();
+    const auto wall = std::chrono::system_clock::now().time_since_epoch();
+    m_born = std::chrono::duration_cast<std::chrono::milliseconds>(wall).count();
+}
+
+void Executor::forgetAll()
 {
     const auto lost = std::move(m_runs);
     m_floor.ledger().crashed(m_name);
@@ -82,9 +123,6 @@
     m_token = 0;
     m_lastEnd = 0;
     m_leaseUntil = Instant::max();
-    m_bornAt = runtime::Clock::now();
-    const auto wall = std::chrono::system_clock::now().time_since_epoch();
-    m_born = std::chrono::duration_cast<std::chrono::milliseconds>(wall).count();
     for (const auto &[task, run] : lost) {
         if (run.plan.isGang) {
             m_floor.endGang(task, run.attempt, "broken");
@@ -108,6 +146,10 @@
 asio::awaitable<void> Executor::announce()
 {
     while (true) {
+        if (m_isDown) {
+            co_await runtime::sleepFor(WorkTick);
+            continue;
+        }
         const Json report{{"Service", "kit-studio"},
                           {"Addr", "127.0.0.1:" + std::to_string(port())},
                           {"Zone", "lima-a"},
@@ -120,16 +162,19 @@
                           {"ClockMs", clockMs()},
                           {"born", m_born},
                           {"Seq", ++m_sequence}};
-        co_await standins::post(m_agent, "/plantainfork/instances/" + m_name + "/heartbeat", report);
+        co_await standins::post(m_agent, "/plantainfork/instances/" + m_id + "/heartbeat", report);
         co_await runtime::sleepFor(AnnounceInterval);
     }
 }
 
 asio::awaitable<http::Response> Executor::answer(http::Request request)
 {
+    if (m_isDown) {
+        co_return noAnswer();
+    }
     const Json wanted = Json::parse(request.body, nullptr, false);
     const std::string path(request.path());
-    const bool isOther = request.header("X-Plantainfork-Expected-Instance").value_or(m_name) != m_name;
+    const bool isOther = request.header("X-Plantainfork-Expected-Instance").value_or(m_id) != m_id;
     if (isOther) {
         co_return reply(421, Json::object());
     }
@@ -145,9 +190,7 @@
     if (m_lateOrders > 0) {
         --m_lateOrders;
         asio::co_spawn(m_runner, startLate(wanted, m_life), asio::detached);
-        http::Response none;
-        none.status = http::NoAnswer;
-        co_return none;
+        co_return noAnswer();
     }
     co_return startRun(wanted, false);
 }
@@ -222,7 +265,11 @@
     run.done = run.firstDone = checkpoint.empty() ? 0 : std::stod(checkpoint);
     run.isFailing = m_isFailing || run.plan.alwaysFails;
     m_runs[*task] = run;
-    m_floor.ledger().started(*task, attempt, wanted.value("Spec", std::string()), m_name, isLate, run.startedAt);
+    const auto payload = wanted.value("Spec", std::string());
+    m_floor.ledger().started(*task, attempt, payload, m_name, isLate, run.startedAt);
+    if (payload.starts_with(DeadlyMark)) {
+        asio::co_spawn(m_runner, die(m_life), asio::detached);
+    }
     m_changed.notify();
     return reply(200, Json::object());
 }
@@ -269,6 +316,9 @@
     while (m_ends.empty() && life == m_life && runtime::Clock::now() < until) {
         co_await m_changed.waitUntil(until);
     }
+    if (m_isDown) {
+        co_return noAnswer();
+    }
     Json running = Json::array();
     for (const auto &[task, run] : m_runs) {
         running.push_back({task.text(), run.attempt, saved(run), static_cast<unsigned>(run.done * WholePercent)});
--- a/tests/platform/soak/executor.h
+++ b/tests/platform/soak/executor.h
@@ -79,7 +79,7 @@
         return m_name;
     }
 
-    /** Its process is gone and starts anew under the same id. */
+    /** Its process is gone and starts anew under the same id, at once. */
     void crash();
     /** The next orders get no answer and are carried out late. */
     void answerLate(unsigned count)
@@ -118,6 +118,10 @@
 
     asio::awaitable<http::Response> answer(http::Request request);
     asio::awaitable<http::Response> hold(Json wanted);
+    /** A deadly task has started: the process crashes in a moment and is back, under this id or another, some seconds later. */
+    asio::awaitable<void> die(std::uint64_t life);
+    void forgetAll();
+    void beginLife();
     asio::awaitable<void> startLate(Json wanted, std::uint64_t life);
     http::Response startRun(const Json &wanted, bool isLate);
     http::Response stopRun(const Json &wanted);
@@ -135,13 +139,17 @@
 
     asio::any_io_executor m_runner;
     Floor &m_floor;
+    /** Names its place, which keeps its address; what is at that place goes by m_id. */
     std::string m_name;
+    std::string m_id;
     std::string m_rack;
     ExecutorBounds m_bounds;
     std::unique_ptr<http::Server> m_server;
     standins::Endpoint m_agent;
     /** Counts its lives; what belongs to an earlier one has no effect. */
     std::uint64_t m_life = 0;
+    /** Crashed, and not back yet. */
+    bool m_isDown = false;
     std::int64_t m_born = 0;
     Instant m_bornAt;
     std::uint64_t m_sequence = 0;
--- a/tests/platform/soak/ledger.cpp
+++ b/tests/platform/soak/ledger.cpp
@@ -14,6 +14,12 @@
 constexpr std::chrono::milliseconds CancelBound{3000};
 /** From its acceptance until every entry must know a job. From the platform's bounds. */
 constexpr std::chrono::milliseconds VisibleBound{3000};
+/** Crashes under a task after which its job may be given up. From the platform's rules, as are the next two. */
+constexpr unsigned CrashesToGiveUp = 2;
+/** Crashes under a task after which it may not be started without end. */
+constexpr unsigned MostCrashes = 3;
+/** So many starts after these crashes are too many. */
+constexpr unsigned TooManyStarts = 3;
 
 } // namespace
 
@@ -93,12 +99,20 @@
     if (state == "cancelled" && !entry.isCancelSent) {
         report("lost", job + " is shown as cancelled, and nobody cancelled it");
     }
-    const bool canFail = std::any_of(entry.failedAttempts.begin(), entry.failedAttempts.end(), [this](const auto &unit) {
+    if (state == "failed" && !canFail(entry)) {
+        report("lost", job + " is shown as failed without enough failed runs or crashes");
+    }
+}
+
+bool Ledger::canFail(const Job &job) const
+{
+    const bool hasFailed = std::any_of(job.failedAttempts.begin(), job.failedAttempts.end(), [this](const auto &unit) {
         return unit.second.size() >= m_maxFailures;
     });
-    if (state == "failed" && !canFail) {
-        report("lost", job + " is shown as failed without enough failed runs");
-    }
+    const bool hasCrashed = std::any_of(job.tasks.begin(), job.tasks.end(), [](const auto &task) {
+        return task.second.crashes >= CrashesToGiveUp;
+    });
+    return hasFailed || hasCrashed;
 }
 
 bool Ledger::isStepDone(const Job &job, unsigned occurrence, unsigned step)
@@ -130,6 +144,9 @@
     if (task.notedFailures >= m_maxFailures) {
         report("budget", name.text() + " started after " + std::to_string(task.notedFailures) + " failed runs");
     }
+    if (task.startsSinceCrashes >= TooManyStarts) {
+        report("budget", name.text() + " started again and again after " + std::to_string(MostCrashes) + " executors had crashed under it");
+    }
 }
 
 void Ledger::started(const TaskName &task, std::uint64_t attempt, const std::string &payload, const std::string &executor, bool isLate, Instant now)
@@ -142,6 +159,7 @@
     }
     ++job->second.starts;
     Task &entry = job->second.tasks[task];
+    entry.startsSinceCrashes += entry.crashes >= MostCrashes ? 1 : 0;
     checkStart(job->second, entry, task, isLate, now);
     entry.running.insert(executor);
     for (auto &[other, starts] : entry.startsSinceDone) {
@@ -206,7 +224,7 @@
 {
     for (auto &[id, job] : m_jobs) {
         for (auto &[name, task] : job.tasks) {
-            task.running.erase(executor);
+            task.crashes += task.running.erase(executor) > 0 ? 1 : 0;
             // An end that nobody took note of is gone, and the task may run again; it may also have been heard of, and is done then.
             task.startsSinceDone.erase(executor);
         }
@@ -249,6 +267,10 @@
     for (const auto &[id, job] : m_jobs) {
         ++counts[job.isAccepted ? (job.state.empty() ? "unseen" : job.state) : "not accepted"];
         counts["starts"] += job.starts;
+        for (const auto &[task, entry] : job.tasks) {
+            counts["crashes under tasks"] += entry.crashes;
+        }
+        counts["deadly"] += job.plan.payload.starts_with(DeadlyMark) ? 1 : 0;
     }
     std::string text = "jobs " + std::to_string(m_jobs.size());
     for (const auto &[name, count] : counts) {
--- a/tests/platform/soak/ledger.h
+++ b/tests/platform/soak/ledger.h
@@ -10,6 +10,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "runtime/clock.h"
@@ -30,6 +31,9 @@
     bool alwaysFails = false;
 };
 
+/** What the payload of a deadly job starts with: each of its tasks crashes the executor that starts it. Only the soak reads payloads. */
+inline constexpr std::string_view DeadlyMark = "deadly ";
+
 struct JobPlan {
     std::string payload;
     std::vector<StepPlan> steps;
@@ -100,6 +104,10 @@
         /** Executors whose done end isn't noted yet, with the starts since. */
         std::map<std::string, unsigned> startsSinceDone;
         std::set<std::string> lapsedSinceDone;
+        /** Executors that crashed while it ran there. */
+        unsigned crashes = 0;
+        /** Starts since so many executors had crashed that it may not go on. */
+        unsigned startsSinceCrashes = 0;
     };
     struct Job {
         JobPlan plan;
@@ -117,6 +125,8 @@
 
     void report(const std::string &rule, const std::string &detail);
     [[nodiscard]] static bool isStepDone(const Job &job, unsigned occurrence, unsigned step);
+    /** Whether a job may be shown as failed. */
+    [[nodiscard]] bool canFail(const Job &job) const;
     void checkStart(const Job &job, const Task &task, const TaskName &name, bool isLate, Instant now);
 
     unsigned m_maxFailures;
--- a/tests/platform/soak/ledger_test.cpp
+++ b/tests/platform/soak/ledger_test.cpp
@@ -199,3 +199,62 @@
         REQUIRE(history.breaks("lost"));
     }
 }
+
+TEST_CASE("A task under which three executors have crashed may be started twice more, not three times")
+{
+    History history;
+    history.accept();
+    const auto crashOn = [&history](const std::string &host, std::uint64_t attempt) {
+        history.start(First, attempt, host);
+        history.ledger.crashed(host);
+    };
+    for (std::uint64_t attempt = 1; attempt <= 5; ++attempt) {
+        crashOn("a", attempt);
+    }
+    REQUIRE(history.ledger.violations().empty());
+    SECTION("a third time")
+    {
+        crashOn("b", 6);
+        REQUIRE(history.breaks("budget"));
+    }
+    SECTION("another task")
+    {
+        history.start({Job, 0, 1, 0}, 1, "b");
+        REQUIRE_FALSE(history.breaks("budget"));
+    }
+}
+
+TEST_CASE("A job may be shown as failed only once two executors have crashed under one of its tasks")
+{
+    soak::Ledger ledger(2);
+    soak::JobPlan plan;
+    plan.payload = "work";
+    plan.steps.resize(1);
+    plan.steps[0].tasks = 2;
+    ledger.submitted(Job, plan);
+    const auto crashUnder = [&ledger](unsigned index, std::uint64_t attempt) {
+        ledger.started({Job, 0, 0, index}, attempt, "work", "a", false, runtime::Instant());
+        ledger.crashed("a");
+    };
+    crashUnder(0, 1);
+    SECTION("two under the same task")
+    {
+        crashUnder(0, 2);
+        ledger.shown(Job, "failed", runtime::Instant());
+        REQUIRE(ledger.violations().empty());
+    }
+    SECTION("one under each of two tasks")
+    {
+        crashUnder(1, 1);
+        ledger.shown(Job, "failed", runtime::Instant());
+        REQUIRE_FALSE(ledger.violations().empty());
+    }
+    SECTION("another after the task had ended there")
+    {
+        ledger.started({Job, 0, 0, 0}, 2, "work", "b", false, runtime::Instant());
+        ledger.ended({Job, 0, 0, 0}, 2, "stopped", "b");
+        ledger.crashed("b");
+        ledger.shown(Job, "failed", runtime::Instant());
+        REQUIRE_FALSE(ledger.violations().empty());
+    }
+}
