soak: Let the room of executors shrink and grow while they run

What an executor reports of itself may change while tasks run there. In the soak every second executor carries out any start, as those do that don't guard their room. The ledger adds up what runs or is being stopped on an executor: a start that brings it over the most that it has reported within one report and the contact bound breaks room.

--- a/tests/platform/soak/executor.cpp
+++ b/tests/platform/soak/executor.cpp
@@ -64,6 +64,7 @@
     , m_id(m_name)
     , m_rack(std::move(rack))
     , m_bounds(bounds)
+    , m_accelerators(bounds.accelerators)
     , m_changed(runner)
 {
     floor.add(this);
@@ -77,6 +78,7 @@
     });
     m_server = std::move(*server);
     beginLife();
+    setAccelerators(std::nullopt);
     asio::co_spawn(m_runner, announce(), asio::detached);
     asio::co_spawn(m_runner, work(), asio::detached);
 }
@@ -131,6 +133,12 @@
     m_changed.notify();
 }
 
+void Executor::setAccelerators(std::optional<unsigned> accelerators)
+{
+    m_accelerators = accelerators.value_or(m_bounds.accelerators);
+    m_floor.ledger().roomChanged(m_name, m_accelerators, runtime::Clock::now());
+}
+
 std::int64_t Executor::clockMs() const
 {
     return std::chrono::duration_cast<std::chrono::milliseconds>(runtime::Clock::now() - m_bornAt).count();
@@ -157,7 +165,7 @@
                           {"Slots", 8},
                           {"State", "ready"},
                           {"ColdLeftMs", 0},
-                          {"Capacity", {{"Cpu", 64'000}, {"MemMb", 262'144}, {"Gpu", m_bounds.accelerators}}},
+                          {"Capacity", {{"Cpu", 64'000}, {"MemMb", 262'144}, {"Gpu", m_accelerators}}},
                           {"Labels", {"a", m_rack}},
                           {"ClockMs", clockMs()},
                           {"born", m_born},
@@ -229,7 +237,7 @@
     for (const auto &[task, run] : m_runs) {
         used += run.plan.accelerators;
     }
-    return m_bounds.accelerators - std::min(used, m_bounds.accelerators);
+    return m_accelerators - std::min(used, m_accelerators);
 }
 
 http::Response Executor::startRun(const Json &wanted, bool isLate)
@@ -257,7 +265,7 @@
     Run run;
     run.attempt = attempt;
     run.plan = job != nullptr && task->step < job->steps.size() ? job->steps[task->step] : StepPlan();
-    if (run.plan.accelerators > freeAccelerators()) {
+    if (m_bounds.isGuarding && run.plan.accelerators > freeAccelerators()) {
         return reply(409, {{"Reason", "room"}});
     }
     run.startedAt = runtime::Clock::now();
--- a/tests/platform/soak/executor.h
+++ b/tests/platform/soak/executor.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -34,6 +35,8 @@
     std::chrono::milliseconds killGrace{400};
     std::chrono::milliseconds gangTimeout{3000};
     unsigned accelerators = 8;
+    /** Turns away starts for which it has no room; otherwise it carries out any start. */
+    bool isGuarding = true;
 };
 
 class Executor;
@@ -86,6 +89,8 @@
     {
         m_lateOrders = count;
     }
+    /** What it reports of itself from then on; what runs goes on. Nothing: as many as at its start. */
+    void setAccelerators(std::optional<unsigned> accelerators);
     /** Fails all that it starts while on. */
     void setFailing(bool isFailing)
     {
@@ -144,6 +149,7 @@
     std::string m_id;
     std::string m_rack;
     ExecutorBounds m_bounds;
+    unsigned m_accelerators;
     std::unique_ptr<http::Server> m_server;
     standins::Endpoint m_agent;
     /** Counts its lives; what belongs to an earlier one has no effect. */
--- a/tests/platform/soak/faults.cpp
+++ b/tests/platform/soak/faults.cpp
@@ -1,5 +1,6 @@
 #include "platform/soak/faults.h"
 
+#include <algorithm>
 #include <array>
 #include <random>
 
@@ -9,8 +10,10 @@
 namespace
 {
 
-constexpr std::int64_t ShortestMs = 300;
-constexpr std::int64_t LongestMs = 3500;
+constexpr std::chrono::milliseconds Shortest{300};
+constexpr std::chrono::milliseconds Longest{3500};
+constexpr std::chrono::milliseconds LongShortest{6000};
+constexpr std::chrono::milliseconds LongLongest{9000};
 
 constexpr std::array<std::string_view, FaultKinds> Names{"kill entry",
                                                          "kill agent",
@@ -30,7 +33,33 @@
                                                          "executor crashes",
                                                          "orders carried out late",
                                                          "executor fails all",
-                                                         "policy changes"};
+                                                         "policy changes",
+                                                         "room changes"};
+
+struct Series {
+    std::uint64_t seed = 0;
+    unsigned firstKind = 0;
+    unsigned kinds = 0;
+    std::chrono::milliseconds shortest{0};
+    std::chrono::milliseconds longest{0};
+};
+
+void draw(std::vector<Fault> &faults, const Series &series, std::chrono::milliseconds length, std::chrono::milliseconds gap)
+{
+    // The generator's own numbers are the same everywhere; the library's distributions needn't be.
+    std::mt19937_64 random(series.seed);
+    const auto below = [&random](std::chrono::milliseconds bound) {
+        return std::chrono::milliseconds(static_cast<std::int64_t>(random() % static_cast<std::uint64_t>(bound.count())));
+    };
+    for (std::chrono::milliseconds at(500); at < length * 4 / 5; at += below(2 * gap)) {
+        Fault fault;
+        fault.at = at;
+        fault.kind = static_cast<FaultKind>(series.firstKind + random() % series.kinds);
+        fault.target = static_cast<unsigned>(random() % 1024);
+        fault.length = series.shortest + below(series.longest - series.shortest);
+        faults.push_back(fault);
+    }
+}
 
 } // namespace
 
@@ -41,20 +70,12 @@
 
 std::vector<Fault> drawFaults(std::uint64_t seed, std::chrono::milliseconds length, std::chrono::milliseconds gap)
 {
-    // The generator's own numbers are the same everywhere; the library's distributions needn't be.
-    std::mt19937_64 random(seed);
     std::vector<Fault> faults;
-    const auto end = length * 4 / 5;
-    std::chrono::milliseconds at(500);
-    while (at < end) {
-        Fault fault;
-        fault.at = at;
-        fault.kind = static_cast<FaultKind>(random() % FaultKinds);
-        fault.target = static_cast<unsigned>(random() % 1024);
-        fault.length = std::chrono::milliseconds(ShortestMs + static_cast<std::int64_t>(random() % (LongestMs - ShortestMs)));
-        faults.push_back(fault);
-        at += std::chrono::milliseconds(static_cast<std::int64_t>(random() % static_cast<std::uint64_t>(2 * gap.count())));
-    }
+    draw(faults, {seed, 0, FaultKinds - LongFaultKinds, Shortest, Longest}, length, gap);
+    draw(faults, {seed, FaultKinds - LongFaultKinds, LongFaultKinds, LongShortest, LongLongest}, length, 3 * gap);
+    std::stable_sort(faults.begin(), faults.end(), [](const Fault &left, const Fault &right) {
+        return left.at < right.at;
+    });
     return faults;
 }
 
--- a/tests/platform/soak/faults.h
+++ b/tests/platform/soak/faults.h
@@ -29,8 +29,11 @@
     LateOrders,
     FailingExecutor,
     PolicyChange,
+    RoomChange,
 };
-constexpr unsigned FaultKinds = 19;
+constexpr unsigned FaultKinds = 20;
+/** The last of them come in a series of their own, since they last longer. */
+constexpr unsigned LongFaultKinds = 1;
 
 [[nodiscard]] std::string_view faultText(FaultKind kind);
 
@@ -42,7 +45,7 @@
     std::chrono::milliseconds length{0};
 };
 
-/** As many faults as fit, a gap apart on average; the last fifth of the time is left without new ones. */
+/** As many faults as fit, a gap apart on average, and the long ones three gaps apart; the last fifth of the time is left without new ones. */
 [[nodiscard]] std::vector<Fault> drawFaults(std::uint64_t seed, std::chrono::milliseconds length, std::chrono::milliseconds gap);
 
 } // namespace plantainfork::soak
--- a/tests/platform/soak/ledger.cpp
+++ b/tests/platform/soak/ledger.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cstdio>
+#include <iterator>
 #include <utility>
 
 namespace plantainfork::soak
@@ -14,6 +15,8 @@
 constexpr std::chrono::milliseconds CancelBound{3000};
 /** From its acceptance until every entry must know a job. From the platform's bounds. */
 constexpr std::chrono::milliseconds VisibleBound{3000};
+/** A room that has shrunk counts after one report of the executor and the time after which an agent is in touch. From the platform's bounds. */
+constexpr std::chrono::milliseconds RoomBound{1000 + 4000};
 /** Crashes under a task after which its job may be given up. From the platform's rules, as are the next two. */
 constexpr unsigned CrashesToGiveUp = 2;
 /** Crashes under a task after which it may not be started without end. */
@@ -125,6 +128,39 @@
     return plan.isGang ? done > 0 : done == plan.tasks;
 }
 
+void Ledger::roomChanged(const std::string &executor, unsigned accelerators, Instant now)
+{
+    m_rooms[executor][now] = accelerators;
+}
+
+unsigned Ledger::used(const std::string &executor) const
+{
+    unsigned accelerators = 0;
+    for (const auto &[id, job] : m_jobs) {
+        for (const auto &[name, task] : job.tasks) {
+            accelerators += static_cast<unsigned>(task.running.count(executor)) * job.plan.steps[name.step].accelerators;
+        }
+    }
+    return accelerators;
+}
+
+void Ledger::checkRoom(const std::string &executor, const TaskName &name, Instant now)
+{
+    const auto &rooms = m_rooms[executor];
+    if (rooms.empty()) {
+        return;
+    }
+    unsigned most = 0;
+    // All rooms that held at a time within the bound, the one from before it among them.
+    const auto later = rooms.lower_bound(now - RoomBound);
+    for (auto room = later == rooms.begin() ? later : std::prev(later); room != rooms.end(); ++room) {
+        most = std::max(most, room->second);
+    }
+    if (const auto sum = used(executor); sum > most) {
+        report("room", name.text() + " brought " + executor + " to " + std::to_string(sum) + " accelerators of " + std::to_string(most));
+    }
+}
+
 void Ledger::checkStart(const Job &job, const Task &task, const TaskName &name, bool isLate, Instant now)
 {
     if (!task.running.empty()) {
@@ -162,6 +198,7 @@
     entry.startsSinceCrashes += entry.crashes >= MostCrashes ? 1 : 0;
     checkStart(job->second, entry, task, isLate, now);
     entry.running.insert(executor);
+    checkRoom(executor, task, now);
     for (auto &[other, starts] : entry.startsSinceDone) {
         ++starts;
     }
--- a/tests/platform/soak/ledger.h
+++ b/tests/platform/soak/ledger.h
@@ -79,6 +79,8 @@
     void noted(const TaskName &task, std::uint64_t attempt, const std::string &how, const std::string &executor);
     /** The executor's right to run has lapsed: from then on others may have been given its tasks. */
     void lapsed(const std::string &executor);
+    /** How many accelerators it has from now on, as it reports of itself. */
+    void roomChanged(const std::string &executor, unsigned accelerators, Instant now);
     /** Its process is gone, with all that ran and all ends that weren't taken note of. */
     void crashed(const std::string &executor);
 
@@ -127,10 +129,15 @@
     [[nodiscard]] static bool isStepDone(const Job &job, unsigned occurrence, unsigned step);
     /** Whether a job may be shown as failed. */
     [[nodiscard]] bool canFail(const Job &job) const;
+    /** Accelerators on the executor in use by what runs or is being stopped there. */
+    [[nodiscard]] unsigned used(const std::string &executor) const;
+    void checkRoom(const std::string &executor, const TaskName &name, Instant now);
     void checkStart(const Job &job, const Task &task, const TaskName &name, bool isLate, Instant now);
 
     unsigned m_maxFailures;
     std::map<std::string, Job> m_jobs;
+    /** How many accelerators an executor has reported, by the time from which on. */
+    std::map<std::string, std::map<Instant, unsigned>> m_rooms;
     std::vector<std::string> m_violations;
 };
 
--- a/tests/platform/soak/ledger_test.cpp
+++ b/tests/platform/soak/ledger_test.cpp
@@ -258,3 +258,63 @@
         REQUIRE_FALSE(ledger.violations().empty());
     }
 }
+
+TEST_CASE("No start may bring an executor over the room that it has reported")
+{
+    soak::Ledger ledger(2);
+    soak::JobPlan plan;
+    plan.payload = "work";
+    plan.steps.resize(1);
+    plan.steps[0].tasks = 3;
+    plan.steps[0].accelerators = 3;
+    ledger.submitted(Job, plan);
+    runtime::Instant now(1000s);
+    ledger.roomChanged("a", 8, now);
+    const auto start = [&](unsigned index) {
+        ledger.started({Job, 0, 0, index}, 1, "work", "a", false, now);
+    };
+    const auto isOver = [&ledger] {
+        return !ledger.violations().empty() && ledger.violations().front().starts_with("room:");
+    };
+    start(0);
+    SECTION("within it")
+    {
+        start(1);
+        REQUIRE(ledger.violations().empty());
+    }
+    SECTION("beyond it")
+    {
+        start(1);
+        start(2);
+        REQUIRE(isOver());
+    }
+    SECTION("in the place of one that has ended")
+    {
+        start(1);
+        ledger.ended({Job, 0, 0, 1}, 1, "stopped", "a");
+        start(2);
+        REQUIRE(ledger.violations().empty());
+    }
+    SECTION("soon after it has shrunk")
+    {
+        ledger.roomChanged("a", 4, now + 1s);
+        now += 6s;
+        start(1);
+        REQUIRE(ledger.violations().empty());
+    }
+    SECTION("long after it has shrunk")
+    {
+        ledger.roomChanged("a", 4, now + 1s);
+        now += 6001ms;
+        start(1);
+        REQUIRE(isOver());
+    }
+    SECTION("as soon as it has grown")
+    {
+        ledger.roomChanged("a", 9, now + 1s);
+        now += 1s;
+        start(1);
+        start(2);
+        REQUIRE(ledger.violations().empty());
+    }
+}
--- a/tests/platform/soak/site.cpp
+++ b/tests/platform/soak/site.cpp
@@ -21,6 +21,8 @@
 constexpr std::chrono::milliseconds SlowStore{300};
 constexpr unsigned LostAnswers = 6;
 constexpr unsigned OrdersCarriedOutLate = 4;
+/** Rooms of executors change to anything from one accelerator to this many. */
+constexpr unsigned LargestRoom = 12;
 const std::string OperatorKey = "op/config";
 
 /** A port that nothing listens on, from the given one on. */
@@ -79,7 +81,9 @@
     for (unsigned i = 0; i < m_options.hosts; ++i) {
         Host host;
         const std::string rack = "r1-" + std::to_string(i / HostsPerRack);
-        host.executor = std::make_unique<Executor>(m_context.get_executor(), m_floor, "i-" + std::to_string(i), rack, ExecutorBounds());
+        ExecutorBounds bounds;
+        bounds.isGuarding = i % 2 == 1;
+        host.executor = std::make_unique<Executor>(m_context.get_executor(), m_floor, "i-" + std::to_string(i), rack, bounds);
         host.link = std::make_unique<standins::Link>(m_context, std::chrono::milliseconds(0), 0);
         host.agent = makeDaemon("agent-" + std::to_string(i));
         writeAgent(host);
@@ -210,19 +214,24 @@
     }
 }
 
-asio::awaitable<void> Site::disturbHost(Host &host, FaultKind kind, std::chrono::milliseconds length)
+asio::awaitable<void> Site::disturbHost(Host &host, const Fault &fault)
 {
-    if (kind == FaultKind::CutExecutor) {
-        co_await cut(*host.link, length);
-    } else if (kind == FaultKind::ResetExecutorLink) {
+    const auto hosts = static_cast<unsigned>(m_hosts.size());
+    if (fault.kind == FaultKind::CutExecutor) {
+        co_await cut(*host.link, fault.length);
+    } else if (fault.kind == FaultKind::ResetExecutorLink) {
         host.link->reset();
-    } else if (kind == FaultKind::CrashExecutor) {
+    } else if (fault.kind == FaultKind::CrashExecutor) {
         host.executor->crash();
-    } else if (kind == FaultKind::LateOrders) {
+    } else if (fault.kind == FaultKind::LateOrders) {
         host.executor->answerLate(OrdersCarriedOutLate);
+    } else if (fault.kind == FaultKind::RoomChange) {
+        host.executor->setAccelerators(1 + fault.target / hosts % LargestRoom);
+        co_await runtime::sleepFor(fault.length);
+        host.executor->setAccelerators(std::nullopt);
     } else {
         host.executor->setFailing(true);
-        co_await runtime::sleepFor(length);
+        co_await runtime::sleepFor(fault.length);
         host.executor->setFailing(false);
     }
 }
@@ -255,7 +264,8 @@
     case FaultKind::CrashExecutor:
     case FaultKind::LateOrders:
     case FaultKind::FailingExecutor:
-        co_return co_await disturbHost(host, fault.kind, fault.length);
+    case FaultKind::RoomChange:
+        co_return co_await disturbHost(host, fault);
     default:
         co_return co_await disturbStore(fault.kind, fault.length);
     }
--- a/tests/platform/soak/site.h
+++ b/tests/platform/soak/site.h
@@ -67,7 +67,7 @@
     asio::awaitable<void> keepDown(Daemon &daemon, int signal, std::chrono::milliseconds length);
     asio::awaitable<void> pause(Daemon &daemon, std::chrono::milliseconds length);
     asio::awaitable<void> disturbStore(FaultKind kind, std::chrono::milliseconds length);
-    asio::awaitable<void> disturbHost(Host &host, FaultKind kind, std::chrono::milliseconds length);
+    asio::awaitable<void> disturbHost(Host &host, const Fault &fault);
     asio::awaitable<void> cut(standins::Link &link, std::chrono::milliseconds length);
     asio::awaitable<void> killAll(std::chrono::milliseconds length);
     standins::Endpoint nextAddress();
