tests: Keep sockets of the test's own process from those that it starts

Callers saw nothing of it; the soak did.

Cause: asio doesn't mark the sockets that it accepts, so a daemon that was started again inherited all sockets of the soak's relays. A connection that a relay closed stayed open in that daemon, and its far end saw no end. One restarted daemon held 136 sockets, one that was never restarted 31.

Everything beyond the standard streams is now closed when the other program begins.

--- a/tests/scenario/process.cpp
+++ b/tests/scenario/process.cpp
@@ -3,9 +3,11 @@
 #include <csignal>
 #include <cstdlib>
 #include <fstream>
+#include <limits>
 #include <utility>
 
 #include <fcntl.h>
+#include <linux/close_range.h>
 #include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -76,6 +78,8 @@
         ::prctl(PR_SET_PDEATHSIG, SIGKILL);
         ::dup2(log, STDOUT_FILENO);
         ::dup2(log, STDERR_FILENO);
+        // Sockets that this process closes later must not stay open in the other one: their far ends would not notice.
+        ::close_range(STDERR_FILENO + 1, std::numeric_limits<unsigned>::max(), CLOSE_RANGE_CLOEXEC);
         if (::getppid() == parent) {
             ::execve(argumentPointers[0], argumentPointers.data(), environmentPointers.data());
         }
