soak: Let the policy grow while the entries' lines are slow

Entries that could not read a large configuration over a slow line answered nothing until their restart, and the soak had neither.

Now every fourth seed adds 5,000 routes at a quarter of its time and limits the entries' lines to the store to 2 Mbit/s; both stay so. Once all has come to rest each entry must answer about an accepted job, or silent is broken.

--- a/tests/platform/soak/callers.cpp
+++ b/tests/platform/soak/callers.cpp
@@ -70,7 +70,7 @@
     }
 }
 
-std::string Callers::policy(std::uint64_t version)
+std::string Callers::policy(std::uint64_t version, unsigned moreRoutes)
 {
     Json routes = Json::array();
     for (const auto &queue : Queues) {
@@ -83,6 +83,10 @@
                           {"SlackFactor", queue.slack},
                           {"TargetDurationMs", 1000}});
     }
+    for (unsigned i = 0; i < moreRoutes; ++i) {
+        const std::string name = "more-" + std::to_string(i);
+        routes.push_back({{"Name", name}, {"Host", name + ".example"}, {"Prefix", "/" + name + "/"}, {"Service", "kit-studio"}});
+    }
     const Json tenants = Json::array({{{"Name", "club"}, {"ApiKeys", {"club-key"}}, {"Guaranteed", {{"Gpu", 8}}}}});
     return Json{{"Version", version}, {"Routes", std::move(routes)}, {"Services", {{{"Name", "kit-studio"}, {"Preconditions", true}}}}, {"Tenants", tenants}}
         .dump();
@@ -119,6 +123,12 @@
 }
 
 asio::awaitable<http::Exchange> Callers::call(std::string method, const Sent &sent)
+{
+    const auto entry = below(static_cast<unsigned>(m_entries.size()));
+    co_return co_await callAt(*m_entries[entry], std::move(method), sent);
+}
+
+asio::awaitable<http::Exchange> Callers::callAt(http::Client &entry, std::string method, const Sent &sent)
 {
     http::Request request;
     request.method = std::move(method);
@@ -128,8 +138,7 @@
                        {"X-Plantainfork-Deadline-Ms", std::to_string(Patience.count())},
                        {"Content-Type", "application/json"}};
     request.body = request.method == "POST" ? sent.body : "";
-    const auto entry = below(static_cast<unsigned>(m_entries.size()));
-    co_return co_await m_entries[entry]->send(std::move(request), runtime::Clock::now() + Patience);
+    co_return co_await entry.send(std::move(request), runtime::Clock::now() + Patience);
 }
 
 asio::awaitable<void> Callers::submitFor(std::chrono::milliseconds length, std::chrono::milliseconds interval)
@@ -220,4 +229,21 @@
     }
 }
 
+asio::awaitable<void> Callers::askEach(std::chrono::milliseconds limit)
+{
+    const auto job = m_ledger.anyAccepted();
+    const auto until = runtime::Clock::now() + limit;
+    for (std::size_t entry = 0; job && entry < m_entries.size(); ++entry) {
+        bool isAnswered = false;
+        do {
+            const auto exchange = co_await callAt(*m_entries[entry], "GET", m_sent.at(*job));
+            isAnswered = exchange.response.ok() && (exchange.response->status == 200 || exchange.response->status == 410);
+            if (!isAnswered) {
+                co_await runtime::sleepFor(AskInterval);
+            }
+        } while (!isAnswered && runtime::Clock::now() < until);
+        m_ledger.asked("entry " + std::to_string(entry), *job, isAnswered);
+    }
+}
+
 } // namespace plantainfork::soak
--- a/tests/platform/soak/callers.h
+++ b/tests/platform/soak/callers.h
@@ -29,8 +29,11 @@
     /** Asks for all open jobs, over and over, until none is open or the limit is reached. */
     asio::awaitable<void> awaitEnds(std::chrono::milliseconds limit);
 
-    /** The desired state that the jobs go by. */
-    static std::string policy(std::uint64_t version);
+    /** Asks each entry for an accepted job until it answers or the limit is reached. */
+    asio::awaitable<void> askEach(std::chrono::milliseconds limit);
+
+    /** The desired state that the jobs go by, and so many routes more. */
+    static std::string policy(std::uint64_t version, unsigned moreRoutes);
     /** Failed runs after which a task has failed, as the desired state says. */
     static constexpr unsigned MostFailures = 3;
 
@@ -46,6 +49,7 @@
     asio::awaitable<void> cancel(std::string job, Sent sent);
     asio::awaitable<std::string> ask(const std::string &job, const Sent &sent);
     asio::awaitable<http::Exchange> call(std::string method, const Sent &sent);
+    asio::awaitable<http::Exchange> callAt(http::Client &entry, std::string method, const Sent &sent);
     Sent draw(const std::string &job);
     unsigned below(unsigned bound);
 
--- a/tests/platform/soak/faults.cpp
+++ b/tests/platform/soak/faults.cpp
@@ -12,8 +12,8 @@
 
 constexpr std::chrono::milliseconds Shortest{300};
 constexpr std::chrono::milliseconds Longest{3500};
-constexpr std::chrono::milliseconds LongShortest{6000};
-constexpr std::chrono::milliseconds LongLongest{9000};
+constexpr std::chrono::milliseconds ShortestRoom{6000};
+constexpr std::chrono::milliseconds LongestRoom{9000};
 
 constexpr std::array<std::string_view, FaultKinds> Names{"kill entry",
                                                          "kill agent",
@@ -34,7 +34,8 @@
                                                          "orders carried out late",
                                                          "executor fails all",
                                                          "policy changes",
-                                                         "room changes"};
+                                                         "room changes",
+                                                         "policy grows, slow lines"};
 
 struct Series {
     std::uint64_t seed = 0;
@@ -71,8 +72,11 @@
 std::vector<Fault> drawFaults(std::uint64_t seed, std::chrono::milliseconds length, std::chrono::milliseconds gap)
 {
     std::vector<Fault> faults;
-    draw(faults, {seed, 0, FaultKinds - LongFaultKinds, Shortest, Longest}, length, gap);
-    draw(faults, {seed, FaultKinds - LongFaultKinds, LongFaultKinds, LongShortest, LongLongest}, length, 3 * gap);
+    draw(faults, {seed, 0, FrequentFaultKinds, Shortest, Longest}, length, gap);
+    draw(faults, {seed, static_cast<unsigned>(FaultKind::RoomChange), 1, ShortestRoom, LongestRoom}, length, 3 * gap);
+    if (seed % LargePolicySeeds == 1) {
+        faults.push_back({length / 4, FaultKind::LargePolicy, 0, {}});
+    }
     std::stable_sort(faults.begin(), faults.end(), [](const Fault &left, const Fault &right) {
         return left.at < right.at;
     });
--- a/tests/platform/soak/faults.h
+++ b/tests/platform/soak/faults.h
@@ -30,10 +30,13 @@
     FailingExecutor,
     PolicyChange,
     RoomChange,
+    LargePolicy,
 };
-constexpr unsigned FaultKinds = 20;
-/** The last of them come in a series of their own, since they last longer. */
-constexpr unsigned LongFaultKinds = 1;
+constexpr unsigned FaultKinds = 21;
+/** The first of them come in one series; the others are drawn apart, so that a seed's series stays as it was. */
+constexpr unsigned FrequentFaultKinds = 19;
+/** Every so many seeds the policy grows on slow lines, from seed 1 on. Callers hear many refusals then, so that other troubles meet few jobs. */
+constexpr unsigned LargePolicySeeds = 4;
 
 [[nodiscard]] std::string_view faultText(FaultKind kind);
 
@@ -45,7 +48,7 @@
     std::chrono::milliseconds length{0};
 };
 
-/** As many faults as fit, a gap apart on average, and the long ones three gaps apart; the last fifth of the time is left without new ones. */
+/** As many faults as fit, a gap apart on average, and changes of room three gaps apart; the last fifth of the time is left without new ones. */
 [[nodiscard]] std::vector<Fault> drawFaults(std::uint64_t seed, std::chrono::milliseconds length, std::chrono::milliseconds gap);
 
 } // namespace plantainfork::soak
--- a/tests/platform/soak/ledger.cpp
+++ b/tests/platform/soak/ledger.cpp
@@ -107,6 +107,21 @@
     }
 }
 
+void Ledger::asked(const std::string &entry, const std::string &job, bool isAnswered)
+{
+    if (!isAnswered) {
+        report("silent", entry + " gave no answer about " + job);
+    }
+}
+
+std::optional<std::string> Ledger::anyAccepted() const
+{
+    const auto found = std::find_if(m_jobs.begin(), m_jobs.end(), [](const auto &job) {
+        return job.second.isAccepted;
+    });
+    return found == m_jobs.end() ? std::nullopt : std::optional(found->first);
+}
+
 bool Ledger::canFail(const Job &job) const
 {
     const bool hasFailed = std::any_of(job.failedAttempts.begin(), job.failedAttempts.end(), [this](const auto &unit) {
@@ -180,7 +195,7 @@
     if (task.notedFailures >= m_maxFailures) {
         report("budget", name.text() + " started after " + std::to_string(task.notedFailures) + " failed runs");
     }
-    if (task.startsSinceCrashes >= TooManyStarts) {
+    if (task.startsSinceCrashes == TooManyStarts) {
         report("budget", name.text() + " started again and again after " + std::to_string(MostCrashes) + " executors had crashed under it");
     }
 }
--- a/tests/platform/soak/ledger.h
+++ b/tests/platform/soak/ledger.h
@@ -72,6 +72,9 @@
     /** A status that a caller read; empty: there is no such job. */
     void shown(const std::string &job, const std::string &state, Instant now);
 
+    /** Once all is well an entry was asked for an accepted job, over and over. */
+    void asked(const std::string &entry, const std::string &job, bool isAnswered);
+
     /** isLate: the executor carried out an order that it hadn't answered. */
     void started(const TaskName &task, std::uint64_t attempt, const std::string &payload, const std::string &executor, bool isLate, Instant now);
     void ended(const TaskName &task, std::uint64_t attempt, const std::string &how, const std::string &executor);
@@ -86,6 +89,7 @@
 
     /** Accepted jobs that haven't been shown as ended. */
     [[nodiscard]] std::vector<std::string> open() const;
+    [[nodiscard]] std::optional<std::string> anyAccepted() const;
     /** Judges what can be said only once everything has come to rest. */
     void finish();
 
--- a/tests/platform/soak/ledger_test.cpp
+++ b/tests/platform/soak/ledger_test.cpp
@@ -318,3 +318,15 @@
         REQUIRE(ledger.violations().empty());
     }
 }
+
+TEST_CASE("Each entry has to answer about accepted jobs once all is well")
+{
+    History history;
+    REQUIRE_FALSE(history.ledger.anyAccepted());
+    history.accept();
+    REQUIRE(history.ledger.anyAccepted() == Job);
+    history.ledger.asked("entry 0", Job, true);
+    REQUIRE_FALSE(history.breaks("silent"));
+    history.ledger.asked("entry 1", Job, false);
+    REQUIRE(history.breaks("silent"));
+}
--- a/tests/platform/soak/site.cpp
+++ b/tests/platform/soak/site.cpp
@@ -23,6 +23,12 @@
 constexpr unsigned OrdersCarriedOutLate = 4;
 /** Rooms of executors change to anything from one accelerator to this many. */
 constexpr unsigned LargestRoom = 12;
+/** Several hundred kilobytes of them. */
+constexpr unsigned ManyRoutes = 5000;
+/** Bits per second of an entry's line to the store, on which reading these routes takes longer than any usual call. */
+constexpr std::uint64_t SlowLine = 2'000'000;
+/** 64 KiB, as much as a TCP sender without scaled windows has on its way. */
+constexpr std::size_t SlowLineWindow = 4;
 const std::string OperatorKey = "op/config";
 
 /** A port that nothing listens on, from the given one on. */
@@ -73,7 +79,7 @@
         return m_store.answer(std::move(request));
     });
     asio::co_spawn(m_context, m_store.expireLeases(), asio::detached);
-    m_store.put(OperatorKey, Callers::policy(m_policyVersion));
+    putPolicy();
     for (unsigned i = 0; i < m_options.entries; ++i) {
         m_entries.push_back(makeDaemon("entry-" + std::to_string(i)));
         writeEntry(*m_entries.back());
@@ -195,6 +201,11 @@
     co_await runtime::sleepFor(length);
 }
 
+void Site::putPolicy()
+{
+    m_store.put(OperatorKey, Callers::policy(++m_policyVersion, m_moreRoutes));
+}
+
 asio::awaitable<void> Site::disturbStore(FaultKind kind, std::chrono::milliseconds length)
 {
     if (kind == FaultKind::StoreForgets) {
@@ -202,7 +213,15 @@
     } else if (kind == FaultKind::StoreLosesAnswers) {
         m_store.loseAnswers(LostAnswers);
     } else if (kind == FaultKind::PolicyChange) {
-        m_store.put(OperatorKey, Callers::policy(++m_policyVersion));
+        putPolicy();
+    } else if (kind == FaultKind::LargePolicy) {
+        // The lines stay slow and the policy stays large: entries have to live with both.
+        for (const auto &entry : m_entries) {
+            entry->storeLink->setRate(SlowLine);
+            entry->storeLink->setWindow(SlowLineWindow);
+        }
+        m_moreRoutes = ManyRoutes;
+        putPolicy();
     } else if (kind == FaultKind::StoreSlow) {
         m_store.setDelay(SlowStore);
         co_await runtime::sleepFor(length);
--- a/tests/platform/soak/site.h
+++ b/tests/platform/soak/site.h
@@ -69,6 +69,7 @@
     asio::awaitable<void> disturbStore(FaultKind kind, std::chrono::milliseconds length);
     asio::awaitable<void> disturbHost(Host &host, const Fault &fault);
     asio::awaitable<void> cut(standins::Link &link, std::chrono::milliseconds length);
+    void putPolicy();
     asio::awaitable<void> killAll(std::chrono::milliseconds length);
     standins::Endpoint nextAddress();
     std::vector<Daemon *> daemons();
@@ -82,7 +83,9 @@
     std::vector<Host> m_hosts;
     std::uint16_t m_nextPort;
     std::vector<std::string> m_entryRpc;
-    std::uint64_t m_policyVersion = 1;
+    std::uint64_t m_policyVersion = 0;
+    /** Routes of the operator's besides those that callers use. */
+    unsigned m_moreRoutes = 0;
 };
 
 } // namespace plantainfork::soak
--- a/tests/platform/soak/soak_main.cpp
+++ b/tests/platform/soak/soak_main.cpp
@@ -36,6 +36,8 @@
 
 /** How long after the load and the troubles all accepted jobs may take to end: the longest job, lapses and a few new terms. */
 constexpr std::chrono::seconds RestLimit{60};
+/** How long after that each entry may take to answer about an accepted job: the platform's bound after the end of traffic, less the rest so far. */
+constexpr std::chrono::seconds AnswerLimit{14 - 4};
 constexpr std::chrono::milliseconds StartTime{1500};
 constexpr std::chrono::milliseconds JobInterval{180};
 
@@ -70,6 +72,7 @@
     // Callers that still repeat or cancel come to an end within their patience.
     co_await runtime::sleepFor(std::chrono::seconds(4));
     co_await callers.awaitEnds(RestLimit);
+    co_await callers.askEach(AnswerLimit);
     ledger.finish();
 }
 
--- a/tests/standins/link.h
+++ b/tests/standins/link.h
@@ -29,7 +29,7 @@
 
 inline constexpr std::size_t LinkChunkBytes = 16 * 1024;
 inline constexpr std::chrono::milliseconds StalledPollInterval{5};
-/** Bounds what one connection may have on its way; its sender waits beyond that. */
+/** Bounds what one connection may have on its way, if nothing else is set; its sender waits beyond that. */
 inline constexpr std::size_t MaxChunksInFlight = 64;
 
 /** One direction of the link, shared by its connections: when the bytes given to it have left. */
@@ -116,6 +116,11 @@
     {
         m_rate = bitsPerSecond;
     }
+    /** How much one connection may have on its way: so much of the line's time is lost when it is given up. */
+    void setWindow(std::size_t chunks)
+    {
+        m_window = chunks;
+    }
     /** While it is cut, connections are closed at once and new ones come to nothing. */
     void setCut(bool isCut)
     {
@@ -208,7 +213,7 @@
                 flight->chunks.push_back({pipe.passage(size, m_rate, m_delay), buffer.substr(0, size)});
                 flight->wake.cancel();
             }
-            while (flight->chunks.size() >= MaxChunksInFlight && !connection->isSwallowed) {
+            while (flight->chunks.size() >= m_window && !connection->isSwallowed) {
                 co_await runtime::sleepFor(StalledPollInterval);
             }
         }
@@ -249,6 +254,7 @@
     asio::io_context &m_context;
     std::chrono::milliseconds m_delay;
     std::uint64_t m_rate;
+    std::size_t m_window = MaxChunksInFlight;
     bool m_isCut = false;
     Pipe m_there;
     Pipe m_back;
