--- a/tests/platform/soak/ledger.h
+++ b/tests/platform/soak/ledger.h
@@ -10,6 +10,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "runtime/clock.h"
@@ -30,6 +31,9 @@
     bool alwaysFails = false;
 };
 
+/** What the payload of a deadly job starts with: each of its tasks crashes the executor that starts it. Only the soak reads payloads. */
+inline constexpr std::string_view DeadlyMark = "deadly ";
+
 struct JobPlan {
     std::string payload;
     std::vector<StepPlan> steps;
@@ -68,6 +72,9 @@
     /** A status that a caller read; empty: there is no such job. */
     void shown(const std::string &job, const std::string &state, Instant now);
 
+    /** Once all is well an entry was asked for an accepted job, over and over. */
+    void asked(const std::string &entry, const std::string &job, bool isAnswered);
+
     /** isLate: the executor carried out an order that it hadn't answered. */
     void started(const TaskName &task, std::uint64_t attempt, const std::string &payload, const std::string &executor, bool isLate, Instant now);
     void ended(const TaskName &task, std::uint64_t attempt, const std::string &how, const std::string &executor);
@@ -75,11 +82,14 @@
     void noted(const TaskName &task, std::uint64_t attempt, const std::string &how, const std::string &executor);
     /** The executor's right to run has lapsed: from then on others may have been given its tasks. */
     void lapsed(const std::string &executor);
+    /** How many accelerators it has from now on, as it reports of itself. */
+    void roomChanged(const std::string &executor, unsigned accelerators, Instant now);
     /** Its process is gone, with all that ran and all ends that weren't taken note of. */
     void crashed(const std::string &executor);
 
     /** Accepted jobs that haven't been shown as ended. */
     [[nodiscard]] std::vector<std::string> open() const;
+    [[nodiscard]] std::optional<std::string> anyAccepted() const;
     /** Judges what can be said only once everything has come to rest. */
     void finish();
 
@@ -100,6 +110,10 @@
         /** Executors whose done end isn't noted yet, with the starts since. */
         std::map<std::string, unsigned> startsSinceDone;
         std::set<std::string> lapsedSinceDone;
+        /** Executors that crashed while it ran there. */
+        unsigned crashes = 0;
+        /** Starts since so many executors had crashed that it may not go on. */
+        unsigned startsSinceCrashes = 0;
     };
     struct Job {
         JobPlan plan;
@@ -117,10 +131,17 @@
 
     void report(const std::string &rule, const std::string &detail);
     [[nodiscard]] static bool isStepDone(const Job &job, unsigned occurrence, unsigned step);
+    /** Whether a job may be shown as failed. */
+    [[nodiscard]] bool canFail(const Job &job) const;
+    /** Accelerators on the executor in use by what runs or is being stopped there. */
+    [[nodiscard]] unsigned used(const std::string &executor) const;
+    void checkRoom(const std::string &executor, const TaskName &name, Instant now);
     void checkStart(const Job &job, const Task &task, const TaskName &name, bool isLate, Instant now);
 
     unsigned m_maxFailures;
     std::map<std::string, Job> m_jobs;
+    /** How many accelerators an executor has reported, by the time from which on. */
+    std::map<std::string, std::map<Instant, unsigned>> m_rooms;
     std::vector<std::string> m_violations;
 };
 
