agent: Count only what an executor may have begun, and how long it had run

A start without an answer counts only while the executor answers other calls.

A run has settled only when it is listed half a second after its start.

--- a/src/batch/agent.h
+++ b/src/batch/agent.h
@@ -142,6 +142,8 @@
     static constexpr std::chrono::milliseconds OrderRetryDelay{50};
     /** Validity of a start call on the executor's clock: the executor refuses to carry it out later than this. */
     static constexpr std::chrono::milliseconds StartLifetime{1500};
+    /** A run that is still listed this long after its start is not one that crashes its executor when it starts. */
+    static constexpr std::chrono::milliseconds SettleTime{500};
     static constexpr unsigned FailuresPerLogLine = 20;
     /** Delay before a change is reported, so that changes that come close together share one call. */
     static constexpr std::chrono::milliseconds ReportGap{3};
@@ -453,9 +455,11 @@
             }
             const RunOrder order = found->second;
             // The executor may crash, or list the run as ended, before it answers.
-            const bool isFirstStart = m_possiblyRunning.emplace(run, false).second;
+            const bool isFirstStart = m_possiblyRunning.try_emplace(run, PossibleRun{runtime::Clock::now()}).second;
+            const bool isExecutorAway = !m_isExecutorReached;
             const auto result = co_await m_port.start(order, incarnation, m_token, startDeadline(), runtime::Clock::now() + OrderTimeout);
-            const bool mayRun = result.outcome == StartOutcome::Started || result.outcome == StartOutcome::Unknown;
+            // An executor that has crashed may still accept connections, which end without an answer.
+            const bool mayRun = result.outcome == StartOutcome::Started || (result.outcome == StartOutcome::Unknown && !isExecutorAway);
             if (!mayRun && isFirstStart && !isListed(run)) {
                 m_possiblyRunning.erase(run);
                 std::erase_if(m_crashed, [&](const CrashedRun &crashed) {
@@ -591,8 +595,8 @@
         log::write(log::Severity::Warning,
                    "executor crashed",
                    {{"instance", m_crashedIncarnation.instance}, {"runs", std::to_string(m_possiblyRunning.size())}});
-        for (const auto &[run, wasListed] : m_possiblyRunning) {
-            m_crashed.push_back({run, wasListed});
+        for (const auto &[run, possible] : m_possiblyRunning) {
+            m_crashed.push_back({run, possible.hasSettled});
         }
         m_possiblyRunning.clear();
         markChanged();
@@ -625,7 +629,9 @@
         m_listing = listing;
         m_unlisted.clear();
         for (const auto &running : listing.running) {
-            m_possiblyRunning[running.run] = true;
+            // A run without an entry was started by an earlier process of this agent.
+            PossibleRun &possible = m_possiblyRunning[running.run];
+            possible.hasSettled = possible.hasSettled || m_clockAt - possible.startedAt >= SettleTime;
         }
         for (const auto &ended : listing.ended) {
             m_possiblyRunning.erase(ended.run);
@@ -730,8 +736,14 @@
     std::set<RunId> m_starting;
     /** Started but not listed yet: only a listing shows which incarnation of the executor has them. */
     std::set<RunId> m_unlisted;
-    /** Runs of the present incarnation of the executor that have, or may have, started and not ended, and whether it has listed them. */
-    std::map<RunId, bool> m_possiblyRunning;
+    struct PossibleRun {
+        runtime::Instant startedAt{};
+        /** The executor has listed it when SettleTime had passed since its start. */
+        bool hasSettled = false;
+    };
+
+    /** Runs of the present incarnation of the executor that have, or may have, started and not ended. */
+    std::map<RunId, PossibleRun> m_possiblyRunning;
     /** Runs that earlier incarnations may have had when they crashed, until the leader has recorded them. */
     std::vector<CrashedRun> m_crashed;
     /** The last incarnation that has crashed. */
--- a/src/batch/crash_blame.cpp
+++ b/src/batch/crash_blame.cpp
@@ -21,11 +21,11 @@
 
 CrashBlame blameFor(const CrashedUnit &run, const std::vector<CrashedUnit> &runs)
 {
-    if (run.wasListed) {
+    if (run.hadSettled) {
         return CrashBlame::Bystander;
     }
     const bool isSole = std::all_of(runs.begin(), runs.end(), [&](const CrashedUnit &other) {
-        return other.wasListed || other.unit == run.unit;
+        return other.hadSettled || other.unit == run.unit;
     });
     return isSole ? CrashBlame::Sole : CrashBlame::Shared;
 }
--- a/src/batch/crash_blame.h
+++ b/src/batch/crash_blame.h
@@ -2,8 +2,7 @@
  * Decides which tasks are the likely cause when executors crash, and when a task is given up for it. Pure.
  *
  * Designed for tasks that crash each executor right after their start, among harmless ones that are lost with them time and again, and for
- * executors that crash by themselves. A run that its executor had never listed began just before the crash, so it is blamed rather than
- * those that had been running for a while.
+ * executors that crash by themselves. A run that had just begun is blamed rather than those that had been running for a while.
  */
 #pragma once
 
@@ -45,11 +44,11 @@
 /** A run that an executor had, or may have had, when it crashed. */
 struct CrashedRun {
     RunId run;
-    /** Whether the executor had listed it before. */
-    bool wasListed = false;
+    /** Whether the executor had listed it some time after its start; otherwise it had just begun. */
+    bool hadSettled = false;
 
     auto operator<=>(const CrashedRun &) const = default;
-    MSGPACK_DEFINE(run, wasListed);
+    MSGPACK_DEFINE(run, hadSettled);
 };
 
 /** Crashes after which a task is given up. The platform allows it from two on, and allows at most two starts after the third. */
@@ -62,10 +61,10 @@
     static constexpr std::size_t All = 4;
 };
 
-/** A run on a crashed executor: its unit, as an opaque number, and whether the executor had listed it. */
+/** A run on a crashed executor: its unit, as an opaque number, and whether it had settled. */
 struct CrashedUnit {
     std::size_t unit = 0;
-    bool wasListed = false;
+    bool hadSettled = false;
 };
 
 [[nodiscard]] std::string_view crashBlameText(CrashBlame blame);
--- a/tests/batch/agent_fixture.h
+++ b/tests/batch/agent_fixture.h
@@ -65,6 +65,9 @@
             throw std::runtime_error("executor's answer not understood");
         }
         co_await runtime::sleepFor(holds.size() == 1 ? firstAnswerDelay : std::min<std::chrono::milliseconds>(request.wait, 50ms));
+        if (isAway) {
+            co_return absl::UnavailableError("end of stream");
+        }
         listing.clock = clock();
         batch::Listing answer = listing;
         if (isListingOld) {
@@ -94,6 +97,8 @@
     std::chrono::milliseconds startAnswerDelay{0};
     /** The answer to a start. */
     batch::StartResult startResult{batch::StartOutcome::Started, ""};
+    /** Calls for lists of runs get no answer. */
+    bool isAway = false;
     /** Starts begin nothing. */
     bool isStartIgnored = false;
 
