batch: Notice within seconds that the leader's job watch is silent

A watch waits a second now, so that with the margin for a slow store a silent one is noticed within 1.7 s.

The new test fails with the wait of 10 s.

--- a/src/batch/job_feed.h
+++ b/src/batch/job_feed.h
@@ -68,7 +68,7 @@
     asio::awaitable<void> followFrom(Term &term, store::Index index)
     {
         while (!term.isOver) {
-            const auto changes = co_await m_store.followPrefix(std::string(keys::Jobs), index, SchedulerTiming::WatchWait);
+            const auto changes = co_await m_store.followPrefix(std::string(keys::Jobs), index, SchedulerTiming::JobWatchWait);
             if (changes.ok()) {
                 index = changes->index;
                 applyEntries(term, changes->written);
--- a/src/batch/term.h
+++ b/src/batch/term.h
@@ -34,6 +34,8 @@
     static constexpr std::chrono::milliseconds LoadSilence = StoreCallTimeout;
     /** Longest wait of one watch call to the store. */
     static constexpr std::chrono::milliseconds WatchWait{10'000};
+    /** The same for the leader's watch of the jobs, which must notice within the bound on cancellations, 3 s, that its connection is silent. */
+    static constexpr std::chrono::milliseconds JobWatchWait{1000};
     static constexpr std::chrono::milliseconds RetryDelay{100};
     /** How often the leader measures whether it keeps up, and how often it logs its load. */
     static constexpr std::chrono::milliseconds LoadCheckInterval{250};
--- a/tests/platform/job_feed_test.cpp
+++ b/tests/platform/job_feed_test.cpp
@@ -70,3 +70,18 @@
     REQUIRE(jobs.size() == 40);
     REQUIRE(jobs.begin()->second.status == batch::JobStatus::Cancelled);
 }
+
+TEST_CASE("A leader whose job watch has gone silent learns of new jobs within the bound on cancellations")
+{
+    // A cancellation went unnoticed for ten seconds, and a task of its job was started.
+    TermOverSlowLine leader(100'000'000);
+    REQUIRE(leader.runUntilLoaded(5s));
+    tests::runOn(leader.context, runtime::sleepFor(100ms));
+    leader.link.swallow();
+    leader.addCancelledJob("late", 10);
+    const auto deadline = runtime::Clock::now() + 3s;
+    while (leader.term->workload.jobs().empty() && runtime::Clock::now() < deadline) {
+        tests::runOn(leader.context, runtime::sleepFor(10ms));
+    }
+    REQUIRE(leader.term->workload.jobs().size() == 1);
+}
