batch: Never refuse a cancellation that this entry may have recorded

Callers could hear 503, which says that nothing was done, for a DELETE that had cancelled the job: the write's answer was lost, and before it could be settled the policy's confirmation lapsed.

Now a cancellation of which a write may have taken effect ends as unclear.

--- a/src/batch/job_request_handler.h
+++ b/src/batch/job_request_handler.h
@@ -176,9 +176,14 @@
     asio::awaitable<Answer> cancel(Caller caller, base::JobId id)
     {
         std::string reason;
+        bool mayBeApplied = false;
         while (hasTime(caller)) {
             if (auto refusal = checkCaller(caller, id.value())) {
-                co_return *refusal;
+                if (refusal->kind != AnswerKind::Refused || !mayBeApplied) {
+                    co_return *refusal;
+                }
+                reason = refusal->reason;
+                break;
             }
             const auto found = co_await lookUp(id, caller);
             if (!found.ok()) {
@@ -198,6 +203,7 @@
                 logRequest("job cancelled", id, caller, m_policy.policy()->version, "written");
                 co_return Answer{AnswerKind::Cancelled, JobStatus::Cancelled, 0, {}, ""};
             }
+            mayBeApplied = mayBeApplied || result.outcome != store::WriteOutcome::NotSent;
             reason = result.reason;
             co_await runtime::sleepFor(RetryDelay);
         }
--- a/tests/batch/refused_though_recorded_test.cpp
+++ b/tests/batch/refused_though_recorded_test.cpp
@@ -84,6 +84,11 @@
         return tests::runOn(context, handler.submit({"h.example", "/q/" + id, "", runtime::Clock::now() + patience}, base::JobId(id), submission));
     }
 
+    batch::Answer cancel(const std::string &id, std::chrono::milliseconds patience)
+    {
+        return tests::runOn(context, handler.cancel({"h.example", "/q/" + id, "", runtime::Clock::now() + patience}, base::JobId(id)));
+    }
+
     static constexpr std::chrono::milliseconds ConfirmationLifetime{4300};
 
     boost::asio::io_context context{1};
@@ -191,6 +196,19 @@
     REQUIRE(site.entry.submit("a").kind == batch::AnswerKind::Unclear);
 }
 
+TEST_CASE("A cancellation that its entry recorded without an answer is not refused when the policy is no longer confirmed")
+{
+    Site site;
+    REQUIRE(site.entry.submit("a").kind == batch::AnswerKind::Accepted);
+    site.entry.direct.loseAnswers(1);
+    site.entry.peerCalls = 1;
+    runtime::Clock::pause();
+    runtime::Clock::advance(Entry::ConfirmationLifetime - 300ms);
+    runtime::Clock::resume();
+    REQUIRE(site.entry.cancel("a", 2s).kind == batch::AnswerKind::Unclear);
+    REQUIRE_FALSE(site.data->read(batch::keys::job(base::JobId("a"), batch::keys::JobPart::Cancel), false).entries.empty());
+}
+
 TEST_CASE("A job that certainly isn't recorded is refused at once while others may be")
 {
     Site site;
