batch: Don't give up a lasting task for the crashes in a long life

The agent now tells for how long a run had been listed instead of whether that was half a second. A crash more than a minute after the start of a task that lasts isn't counted; earlier ones are, as for any other task. A run that an earlier process of the agent had started counts as settled when it is first listed, as before.

--- a/src/batch/agent.h
+++ b/src/batch/agent.h
@@ -142,8 +142,6 @@
     static constexpr std::chrono::milliseconds OrderRetryDelay{50};
     /** Validity of a start call on the executor's clock: the executor refuses to carry it out later than this. */
     static constexpr std::chrono::milliseconds StartLifetime{1500};
-    /** A run that is still listed this long after its start is not one that crashes its executor when it starts. */
-    static constexpr std::chrono::milliseconds SettleTime{500};
     static constexpr unsigned FailuresPerLogLine = 20;
     /** Delay before a change is reported, so that changes that come close together share one call. */
     static constexpr std::chrono::milliseconds ReportGap{3};
@@ -596,7 +594,7 @@
                    "executor crashed",
                    {{"instance", m_crashedIncarnation.instance}, {"runs", std::to_string(m_possiblyRunning.size())}});
         for (const auto &[run, possible] : m_possiblyRunning) {
-            m_crashed.push_back({run, possible.hasSettled});
+            m_crashed.push_back({run, possible.listedFor});
         }
         m_possiblyRunning.clear();
         markChanged();
@@ -629,9 +627,9 @@
         m_listing = listing;
         m_unlisted.clear();
         for (const auto &running : listing.running) {
-            // A run without an entry was started by an earlier process of this agent.
-            PossibleRun &possible = m_possiblyRunning[running.run];
-            possible.hasSettled = possible.hasSettled || m_clockAt - possible.startedAt >= SettleTime;
+            // A run without an entry was started by an earlier process of this agent, a while ago.
+            PossibleRun &possible = m_possiblyRunning.try_emplace(running.run, PossibleRun{m_clockAt - CrashTiming::SettleTime}).first->second;
+            possible.listedFor = std::chrono::duration_cast<std::chrono::milliseconds>(m_clockAt - possible.startedAt);
         }
         for (const auto &ended : listing.ended) {
             m_possiblyRunning.erase(ended.run);
@@ -738,8 +736,8 @@
     std::set<RunId> m_unlisted;
     struct PossibleRun {
         runtime::Instant startedAt{};
-        /** The executor has listed it when SettleTime had passed since its start. */
-        bool hasSettled = false;
+        /** Time from its start to the last listing that had it; 0: none had. */
+        std::chrono::milliseconds listedFor{0};
     };
 
     /** Runs of the present incarnation of the executor that have, or may have, started and not ended. */
--- a/src/batch/crash_blame.cpp
+++ b/src/batch/crash_blame.cpp
@@ -15,23 +15,31 @@
         return "shared";
     case CrashBlame::Bystander:
         return "bystander";
+    case CrashBlame::Unrelated:
+        return "unrelated";
     }
     return "unknown";
 }
 
 CrashBlame blameFor(const CrashedUnit &run, const std::vector<CrashedUnit> &runs)
 {
-    if (run.hadSettled) {
+    if (run.isLongRunning && run.listedFor >= CrashTiming::LastingSettleTime) {
+        return CrashBlame::Unrelated;
+    }
+    if (run.hadSettled()) {
         return CrashBlame::Bystander;
     }
     const bool isSole = std::all_of(runs.begin(), runs.end(), [&](const CrashedUnit &other) {
-        return other.hadSettled || other.unit == run.unit;
+        return other.hadSettled() || other.unit == run.unit;
     });
     return isSole ? CrashBlame::Sole : CrashBlame::Shared;
 }
 
 bool addCrash(Crashes &crashes, const Crash &crash)
 {
+    if (crash.blame == CrashBlame::Unrelated) {
+        return false;
+    }
     const bool isKnown = std::any_of(crashes.begin(), crashes.end(), [&](const Crash &known) {
         return known.attempt == crash.attempt && known.task == crash.task;
     });
--- a/src/batch/crash_blame.h
+++ b/src/batch/crash_blame.h
@@ -6,12 +6,14 @@
  */
 #pragma once
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <string_view>
 #include <vector>
 
 #include "batch/model.h"
+#include "wire/chrono.h"
 
 namespace plantainfork::batch
 {
@@ -24,6 +26,8 @@
     Shared,
     /** It had been running for a while. */
     Bystander,
+    /** It lasts until it is cancelled, and had been running for so long that its start can't be the cause. Such crashes aren't counted. */
+    Unrelated,
 };
 
 /** A crash of an executor under a task of a unit. */
@@ -44,11 +48,19 @@
 /** A run that an executor had, or may have had, when it crashed. */
 struct CrashedRun {
     RunId run;
-    /** Whether the executor had listed it some time after its start; otherwise it had just begun. */
-    bool hadSettled = false;
+    /** Time from its start until the executor last listed it; 0 if it was never listed. */
+    std::chrono::milliseconds listedFor{0};
 
     auto operator<=>(const CrashedRun &) const = default;
-    MSGPACK_DEFINE(run, hadSettled);
+    MSGPACK_DEFINE(run, listedFor);
+};
+
+/** Time after which a run isn't one that crashes its executor when it starts. */
+struct CrashTiming {
+    /** For its share in the blame for a crash. */
+    static constexpr std::chrono::milliseconds SettleTime{500};
+    /** For tasks that last: these are on many executors in their life, of which some crash. */
+    static constexpr std::chrono::milliseconds LastingSettleTime{60'000};
 };
 
 /** Crashes after which a task is given up. The platform allows it from two on, and allows at most two starts after the third. */
@@ -61,10 +73,17 @@
     static constexpr std::size_t All = 4;
 };
 
-/** A run on a crashed executor: its unit, as an opaque number, and whether it had settled. */
+/** A run on a crashed executor. */
 struct CrashedUnit {
+    /** An opaque number, the same for the runs of a unit. */
     std::size_t unit = 0;
-    bool hadSettled = false;
+    std::chrono::milliseconds listedFor{0};
+    bool isLongRunning = false;
+
+    [[nodiscard]] bool hadSettled() const
+    {
+        return listedFor >= CrashTiming::SettleTime;
+    }
 };
 
 [[nodiscard]] std::string_view crashBlameText(CrashBlame blame);
@@ -72,7 +91,7 @@
 /** The blame of one of these runs for the crash of the executor that had them all. */
 [[nodiscard]] CrashBlame blameFor(const CrashedUnit &run, const std::vector<CrashedUnit> &runs);
 
-/** Adds the crash; returns false if one of this attempt of the task is known already. */
+/** Adds the crash; returns false if it doesn't count, or one of this attempt of the task is known already. */
 bool addCrash(Crashes &crashes, const Crash &crash);
 
 /** Number of crashes under the task. */
--- a/src/batch/workload_reports.cpp
+++ b/src/batch/workload_reports.cpp
@@ -181,11 +181,11 @@
     std::map<UnitRef, std::size_t> numbers;
     std::vector<CrashedUnit> crashed;
     for (std::size_t i = 0; i < call.crashed.size(); ++i) {
-        const auto &[run, hadSettled] = call.crashed[i];
+        const auto &[run, listedFor] = call.crashed[i];
         const auto job = m_jobs.find(run.task.job);
         Unit *unit = job != m_jobs.end() ? job->second.unit(run.task) : nullptr;
         const std::size_t number = unit != nullptr ? numbers.try_emplace(UnitRef{&job->second, unit}, i).first->second : i;
-        crashed.push_back({number, hadSettled});
+        crashed.push_back({number, listedFor, unit != nullptr && job->second.stepOf(*unit).isLongRunning});
     }
     for (std::size_t i = 0; i < call.crashed.size(); ++i) {
         const RunId &run = call.crashed[i].run;
