batch: Keep the runs that an executor may have in a class of their own

No change of behaviour: the agent mixed the record of what may have been running at a crash with its calls.

--- a/src/batch/agent.h
+++ b/src/batch/agent.h
@@ -21,6 +21,7 @@
 #include "batch/executor_port.h"
 #include "batch/loop.h"
 #include "batch/messages.h"
+#include "batch/possible_runs.h"
 #include "batch/settings.h"
 #include "log/log.h"
 #include "metrics/registry.h"
@@ -100,7 +101,7 @@
             m_clockAt = {};
             m_starting.clear();
             m_unlisted.clear();
-            m_possiblyRunning.clear();
+            m_possibleRuns.beginIncarnation();
             m_barred.clear();
             m_stopping.clear();
             m_orders = {};
@@ -212,7 +213,7 @@
         call.barred.assign(m_barred.begin(), m_barred.end());
         call.starting.assign(m_starting.begin(), m_starting.end());
         call.starting.insert(call.starting.end(), m_unlisted.begin(), m_unlisted.end());
-        call.crashed = m_crashed;
+        call.crashed = m_possibleRuns.crashed();
         call.wait = wait;
         return call;
     }
@@ -336,11 +337,7 @@
         m_ordersToken = reply.token;
         mergePayloads(reply.orders);
         m_orders = reply.orders;
-        // Orders for an incarnation are sent after the leader has recorded what the first report of it told; those for one that has crashed
-        // may be older.
-        if (m_report->incarnation != m_crashedIncarnation) {
-            m_crashed.clear();
-        }
+        m_possibleRuns.confirmCrashes(m_report->incarnation);
         std::erase_if(m_barred, [&](const RunId &run) {
             return !isOrdered(run) && !isStopOrdered(run);
         });
@@ -452,17 +449,13 @@
                 break;
             }
             const RunOrder order = found->second;
-            // The executor may crash, or list the run as ended, before it answers.
-            const bool isFirstStart = m_possiblyRunning.try_emplace(run, PossibleRun{runtime::Clock::now()}).second;
+            const bool isFirstStart = m_possibleRuns.addStart(run, runtime::Clock::now());
             const bool isExecutorAway = !m_isExecutorReached;
             const auto result = co_await m_port.start(order, incarnation, m_token, startDeadline(), runtime::Clock::now() + OrderTimeout);
             // An executor that has crashed may still accept connections, which end without an answer.
             const bool mayRun = result.outcome == StartOutcome::Started || (result.outcome == StartOutcome::Unknown && !isExecutorAway);
             if (!mayRun && isFirstStart && !isListed(run)) {
-                m_possiblyRunning.erase(run);
-                std::erase_if(m_crashed, [&](const CrashedRun &crashed) {
-                    return crashed.run == run && !isCurrentIncarnation(incarnation);
-                });
+                m_possibleRuns.removeStart(run, !isCurrentIncarnation(incarnation));
             }
             if (result.outcome == StartOutcome::Started) {
                 m_starts.add();
@@ -516,7 +509,7 @@
             if (hasFreshListing) {
                 if (!isListed(run)) {
                     m_barred.insert(run);
-                    m_possiblyRunning.erase(run);
+                    m_possibleRuns.bar(run);
                     logRun("run barred", run, "");
                 }
                 co_return;
@@ -585,18 +578,12 @@
     /** The known incarnation of the executor is gone without notice: keeps what it may have been running, since one of these runs may be the cause. */
     void handleCrash()
     {
-        if (m_crashedIncarnation == m_report->incarnation) {
+        const std::size_t runs = m_possibleRuns.size();
+        if (!m_possibleRuns.recordCrash(m_report->incarnation)) {
             return;
         }
-        m_crashedIncarnation = m_report->incarnation;
         m_crashes.add();
-        log::write(log::Severity::Warning,
-                   "executor crashed",
-                   {{"instance", m_crashedIncarnation.instance}, {"runs", std::to_string(m_possiblyRunning.size())}});
-        for (const auto &[run, possible] : m_possiblyRunning) {
-            m_crashed.push_back({run, possible.listedFor});
-        }
-        m_possiblyRunning.clear();
+        log::write(log::Severity::Warning, "executor crashed", {{"instance", m_report->incarnation.instance}, {"runs", std::to_string(runs)}});
         markChanged();
     }
 
@@ -626,14 +613,7 @@
         const bool isChanged = !m_listing || m_listToken != token || haveRunsChanged(*m_listing, listing);
         m_listing = listing;
         m_unlisted.clear();
-        for (const auto &running : listing.running) {
-            // A run without an entry was started by an earlier process of this agent, a while ago.
-            PossibleRun &possible = m_possiblyRunning.try_emplace(running.run, PossibleRun{m_clockAt - CrashTiming::SettleTime}).first->second;
-            possible.listedFor = std::chrono::duration_cast<std::chrono::milliseconds>(m_clockAt - possible.startedAt);
-        }
-        for (const auto &ended : listing.ended) {
-            m_possiblyRunning.erase(ended.run);
-        }
+        m_possibleRuns.applyListing(listing, m_clockAt);
         m_listToken = token;
         if (isChanged) {
             markChanged();
@@ -734,18 +714,7 @@
     std::set<RunId> m_starting;
     /** Started but not listed yet: only a listing shows which incarnation of the executor has them. */
     std::set<RunId> m_unlisted;
-    struct PossibleRun {
-        runtime::Instant startedAt{};
-        /** Time from its start to the last listing that had it; 0: none had. */
-        std::chrono::milliseconds listedFor{0};
-    };
-
-    /** Runs of the present incarnation of the executor that have, or may have, started and not ended. */
-    std::map<RunId, PossibleRun> m_possiblyRunning;
-    /** Runs that earlier incarnations may have had when they crashed, until the leader has recorded them. */
-    std::vector<CrashedRun> m_crashed;
-    /** The last incarnation that has crashed. */
-    HostIncarnation m_crashedIncarnation;
+    PossibleRuns m_possibleRuns;
     std::set<RunId> m_stopping;
     /** Runs that have never started and never will. */
     std::set<RunId> m_barred;
