batch: Wait for the policy before a repeat is answered as unclear

The entry now goes on trying to settle it for up to a second. If the policy is confirmed meanwhile, the repeat is accepted.

The new test fails with a wait of 0. The test beside it paused the clock, in which nothing that waits ends; it now advances the clock and lets it run on, with the same requirements.

--- a/src/batch/job_request_handler.h
+++ b/src/batch/job_request_handler.h
@@ -95,7 +95,11 @@
     asio::awaitable<Answer> submit(Caller caller, base::JobId id, Submission submission)
     {
         std::string reason = "too little time left";
+        const auto settleUntil = std::min<runtime::Instant>(runtime::Clock::now() + SettleTime, caller.deadline - ReplyMargin);
         while (hasTime(caller)) {
+            if (m_recent.mayBeRecorded(id, runtime::Clock::now())) {
+                co_await waitForConfirmation(settleUntil);
+            }
             if (auto refusal = checkCaller(caller, id.value())) {
                 if (refusal->kind != AnswerKind::Refused || !m_recent.mayBeRecorded(id, runtime::Clock::now())) {
                     co_return *refusal;
@@ -258,9 +262,21 @@
     /** Timeout of one store call; shorter than a caller's deadline, to leave time for a retry on a new connection. */
     static constexpr std::chrono::milliseconds StoreCallTimeout{1000};
     static constexpr std::chrono::seconds RetryAfter{1};
+    /**
+     * How long an entry whose policy isn't confirmed tries to settle whether a job is recorded. An unclear answer can't tell callers when to
+     * come back, and they would use up their repeats while the store is away.
+     */
+    static constexpr std::chrono::milliseconds SettleTime = RetryAfter;
     /** How long a job that this entry may have recorded is remembered; callers wait, and so repeat their requests, for 30 s at most. */
     static constexpr std::chrono::seconds RecentLife{30};
 
+    asio::awaitable<void> waitForConfirmation(runtime::Instant until)
+    {
+        while (!m_policy.isCurrent(runtime::Clock::now()) && runtime::Clock::now() < until) {
+            co_await runtime::sleepFor(RetryDelay);
+        }
+    }
+
     static bool hasTime(const Caller &caller)
     {
         return runtime::Clock::now() + ReplyMargin < caller.deadline;
--- a/tests/batch/refused_though_recorded_test.cpp
+++ b/tests/batch/refused_though_recorded_test.cpp
@@ -5,6 +5,7 @@
 #include <catch2/catch.hpp>
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include "batch/job_request_handler.h"
 #include "batch/recent_submissions.h"
@@ -123,6 +124,13 @@
     return !data.read(batch::keys::jobPrefix(base::JobId(id)), true).entries.empty();
 }
 
+void advanceClock(std::chrono::milliseconds step)
+{
+    runtime::Clock::pause();
+    runtime::Clock::advance(step);
+    runtime::Clock::resume();
+}
+
 struct Site {
     Site()
         : entry(data)
@@ -177,15 +185,33 @@
     // Too little time for a write.
     REQUIRE(site.entry.submit("a", 100ms).kind == batch::AnswerKind::Unclear);
 
-    runtime::Clock::pause();
-    runtime::Clock::advance(5s);
-    const bool isCurrent = site.entry.policy.isCurrent(runtime::Clock::now());
-    const auto repeat = site.entry.submit("a").kind;
-    const auto first = site.entry.submit("b").kind;
-    runtime::Clock::resume();
-    REQUIRE_FALSE(isCurrent);
-    REQUIRE(repeat == batch::AnswerKind::Unclear);
-    REQUIRE(first == batch::AnswerKind::Refused);
+    advanceClock(5s);
+    REQUIRE_FALSE(site.entry.policy.isCurrent(runtime::Clock::now()));
+    REQUIRE(site.entry.submit("a").kind == batch::AnswerKind::Unclear);
+    REQUIRE(site.entry.submit("b").kind == batch::AnswerKind::Refused);
+}
+
+TEST_CASE("A repeat of a job that may be recorded doesn't use up the caller's tries while the policy isn't confirmed")
+{
+    // Callers heard 504 within milliseconds, and had used up their repeats when the store was back.
+    Site site;
+    REQUIRE(site.entry.submit("a").kind == batch::AnswerKind::Accepted);
+    advanceClock(Entry::ConfirmationLifetime + 1s);
+    SECTION("and is accepted as soon as it is")
+    {
+        boost::asio::steady_timer timer(site.entry.context, 400ms);
+        timer.async_wait([&](boost::system::error_code) {
+            site.entry.policy.confirm(runtime::Clock::now());
+        });
+        REQUIRE(site.entry.submit("a", 3s).kind == batch::AnswerKind::Accepted);
+    }
+    SECTION("and may be made elsewhere after a second")
+    {
+        const auto begin = runtime::Clock::now();
+        REQUIRE(site.entry.submit("a", 3s).kind == batch::AnswerKind::Unclear);
+        REQUIRE(runtime::Clock::now() - begin >= 1s);
+        REQUIRE(runtime::Clock::now() - begin < 1500ms);
+    }
 }
 
 TEST_CASE("A repeat of an accepted job is not refused while the store can't be reached")
@@ -202,9 +228,7 @@
     REQUIRE(site.entry.submit("a").kind == batch::AnswerKind::Accepted);
     site.entry.direct.loseAnswers(1);
     site.entry.peerCalls = 1;
-    runtime::Clock::pause();
-    runtime::Clock::advance(Entry::ConfirmationLifetime - 300ms);
-    runtime::Clock::resume();
+    advanceClock(Entry::ConfirmationLifetime - 300ms);
     REQUIRE(site.entry.cancel("a", 2s).kind == batch::AnswerKind::Unclear);
     REQUIRE_FALSE(site.data->read(batch::keys::job(base::JobId("a"), batch::keys::JobPart::Cancel), false).entries.empty());
 }
