batch: Don't let a peer wait as long again after a silent store

Cause: when the wait for a change of the policy had got no answer directly, a peer was asked to wait from the beginning, so it noticed a silent store only after another 1.7 s. A peer is now asked for what is left of the wait, 50 ms at the least; large answers still have their time.

--- a/src/batch/relayed_store.h
+++ b/src/batch/relayed_store.h
@@ -146,6 +146,7 @@
 
     boost::asio::awaitable<absl::StatusOr<store::Changes>> followPrefix(std::string prefix, store::Index after, std::chrono::milliseconds wait)
     {
+        const auto begin = runtime::Clock::now();
         if (shouldTryDirect()) {
             auto changes = co_await m_direct.followPrefix(prefix, after, wait);
             const bool isDefinite = changes.ok() || absl::IsOutOfRange(changes.status());
@@ -154,10 +155,12 @@
                 co_return changes;
             }
         }
+        // A peer that waited as long again for changes would also need as long to notice that the store is silent.
+        const auto waited = std::chrono::duration_cast<std::chrono::milliseconds>(runtime::Clock::now() - begin);
         const auto deadline = runtime::Clock::now() + wait + FollowMargin;
         RelayCall call = buildCall(RelayedOperation::Follow, std::move(prefix), deadline);
         call.after = after;
-        call.time = wait;
+        call.time = std::max(wait - waited, MinFollowWait);
         const auto reply = co_await relay(std::move(call), deadline);
         if (!reply.ok()) {
             co_return reply.status();
@@ -217,6 +220,8 @@
     static constexpr std::chrono::milliseconds DirectTimeout{450};
     /** After a direct call has failed, calls are relayed for this long before the next direct attempt. */
     static constexpr std::chrono::milliseconds DirectRetryDelay{1000};
+    /** Wait of a relayed follow call after a direct one that has taken the whole wait. */
+    static constexpr std::chrono::milliseconds MinFollowWait{50};
     /**
      * Added to the wait of a relayed follow call, for the time that a large answer takes on the peer's line and on this one. A peer that
      * doesn't reach the store says so earlier, and the channel notices one that is gone.
