--- a/src/batch/relayed_store.h
+++ b/src/batch/relayed_store.h
@@ -273,7 +273,8 @@
     {
         const auto peers = m_peers();
         absl::Status last = absl::FailedPreconditionError("no way to the store");
-        if (runtime::Clock::now() < m_peersRetryAt) {
+        const auto begin = runtime::Clock::now();
+        if (begin < m_peersRetryAt) {
             co_return last;
         }
         for (std::size_t i = 0; i < peers.size() && hasTime(deadline); ++i) {
@@ -286,6 +287,9 @@
                 m_lastPeer = (m_lastPeer + i) % peers.size();
                 const bool isStoreUnavailable = result.reply->code == static_cast<int>(absl::StatusCode::kUnavailable)
                     || (call.operation == RelayedOperation::Transact && result.reply->write.outcome == store::WriteOutcome::NotSent);
+                if (!isStoreUnavailable) {
+                    m_peersReachedAt = runtime::Clock::now();
+                }
                 if (!isStoreUnavailable || i + 1 == peers.size()) {
                     co_return std::move(*result.reply);
                 }
@@ -297,7 +301,10 @@
                 break;
             }
         }
-        m_peersRetryAt = runtime::Clock::now() + PeersRetryDelay;
+        // A call that began before others succeeded says nothing about the way as it is now.
+        if (begin >= m_peersReachedAt) {
+            m_peersRetryAt = runtime::Clock::now() + PeersRetryDelay;
+        }
         co_return last;
     }
 
@@ -317,6 +324,8 @@
     Peers m_peers;
     bool m_isDirectAvailable = true;
     runtime::Instant m_directRetryAt{};
+    /** When the store last answered through a peer. */
+    runtime::Instant m_peersReachedAt{};
     /** Until this time calls fail immediately, because no peer answered. */
     runtime::Instant m_peersRetryAt{};
     /** Index of the peer that answered last. */
