agent: Don't count the planned end of an executor as a crash

Owners of harmless jobs could have seen them fail after planned restarts alone. An executor that drains or has announced that it leaves ends with what still runs there; it may be back under the same id before its first announcement is handled, since the agent asks for its runs every 150 ms meanwhile. The agent then took the end for a crash and told the leader that its runs had been there. Four such ends of one task, or one beside three crashes, reach the limit for bystanders.

Cause: only an announcement of the next incarnation was checked against the notice that the earlier one had given; a list of runs from the next one was not. docs/design/platform.md describes the check for both.

The check is now where a crash is recorded, so both ways go through it. The new test was run on the code before, and both of its sections failed ("executor crashed" for one run).

--- a/src/batch/agent.h
+++ b/src/batch/agent.h
@@ -86,8 +86,8 @@
     void handleHostReport(HostReport report)
     {
         const bool isNewIncarnation = !m_report || m_report->incarnation != report.incarnation;
-        if (isNewIncarnation && m_report && !m_report->isDraining && !m_report->hasLeft) {
-            handleCrash();
+        if (isNewIncarnation && m_report) {
+            handleIncarnationEnd();
         }
         const bool isChanged =
             isNewIncarnation || m_report->isDraining != report.isDraining || m_report->capacity != report.capacity || m_report->labels != report.labels;
@@ -575,11 +575,12 @@
         co_return true;
     }
 
-    /** The known incarnation of the executor is gone without notice: keeps what it may have been running, since one of these runs may be the cause. */
-    void handleCrash()
+    /** The known incarnation of the executor is gone. If it gave no notice, keeps what it may have been running: one of these runs may be the cause. */
+    void handleIncarnationEnd()
     {
         const std::size_t runs = m_possibleRuns.size();
-        if (!m_possibleRuns.recordCrash(m_report->incarnation)) {
+        const bool hasGivenNotice = m_report->isDraining || m_report->hasLeft;
+        if (hasGivenNotice || !m_possibleRuns.recordCrash(m_report->incarnation)) {
             return;
         }
         m_crashes.add();
@@ -590,7 +591,7 @@
     /** The executor has restarted without having announced it yet: discards what is known of the earlier incarnation. */
     void handleUnannouncedRestart(const Listing &listing)
     {
-        handleCrash();
+        handleIncarnationEnd();
         if (m_listing) {
             log::write(log::Severity::Info,
                        "executor restarted unannounced",
--- a/tests/batch/agent_fixture.h
+++ b/tests/batch/agent_fixture.h
@@ -150,6 +150,12 @@
         m_agent->handleHostReport(std::move(report));
     }
 
+    /** The executor announces that it leaves. */
+    void announceLeave(const std::string &instance)
+    {
+        m_agent->handleExecutorLeave(instance);
+    }
+
     void runFor(std::chrono::milliseconds time)
     {
         runOn(context, runtime::sleepFor(time));
--- a/tests/batch/agent_test.cpp
+++ b/tests/batch/agent_test.cpp
@@ -187,6 +187,36 @@
     REQUIRE(fixture.calls.back().crashed.empty());
 }
 
+TEST_CASE("The planned end of an executor is no crash if a list of runs is the first to show its next incarnation")
+{
+    AgentFixture fixture([](const batch::SyncCall &) {
+        return AgentFixture::order(AgentFixture::run("job", 1), 3, 1, 5s);
+    });
+    fixture.runUntil([&] {
+        return !fixture.calls.empty() && !fixture.calls.back().running.empty();
+    });
+    SECTION("after it was draining")
+    {
+        fixture.announce({"i-1", 1}, true);
+    }
+    SECTION("after it announced that it leaves")
+    {
+        fixture.announceLeave("i-1");
+    }
+    fixture.executor.listing.running.clear();
+    fixture.executor.listing.born = 2;
+    fixture.runUntil([&] {
+        return fixture.calls.back().running.empty();
+    });
+    fixture.runFor(100ms);
+    REQUIRE(fixture.calls.back().crashed.empty());
+    fixture.announce({"i-1", 2});
+    fixture.runUntil([&] {
+        return fixture.calls.back().report.incarnation.born == 2;
+    });
+    REQUIRE(fixture.calls.back().crashed.empty());
+}
+
 TEST_CASE("A crash that only a list of runs has shown is told even if newer orders for the crashed incarnation come first")
 {
     // The leader learned nothing of the crash, and started the task once more for each.
