agent: Count a start that a silent executor may carry out late

A task that crashes executors could be started without end where executors leave their calls unanswered and carry them out late: none of these crashes was counted, so neither did the task become a suspect nor its job fail.

Cause: a start without an answer was taken back when the last call for the executor's runs had failed. That call fails in two cases. An executor that has crashed may still accept connections, but these end within the start's time. A live one that is silent until that time is over may start the run seconds later, as the platform's page says of calls without an answer.

Now the start is taken back only in the first case, that is, if the call ended before its time.

The new test was run on the code before and failed: the leader was told of no run.

--- a/src/batch/agent.h
+++ b/src/batch/agent.h
@@ -451,9 +451,11 @@
             const RunOrder order = found->second;
             const bool isFirstStart = m_possibleRuns.addStart(run, runtime::Clock::now());
             const bool isExecutorAway = !m_isExecutorReached;
-            const auto result = co_await m_port.start(order, incarnation, m_token, startDeadline(), runtime::Clock::now() + OrderTimeout);
-            // An executor that has crashed may still accept connections, which end without an answer.
-            const bool mayRun = result.outcome == StartOutcome::Started || (result.outcome == StartOutcome::Unknown && !isExecutorAway);
+            const auto answerDeadline = runtime::Clock::now() + OrderTimeout;
+            const auto result = co_await m_port.start(order, incarnation, m_token, startDeadline(), answerDeadline);
+            // An executor that has crashed may still accept connections, which end without an answer. One that stays silent may start the run later.
+            const bool isSilent = runtime::Clock::now() >= answerDeadline;
+            const bool mayRun = result.outcome == StartOutcome::Started || (result.outcome == StartOutcome::Unknown && (!isExecutorAway || isSilent));
             if (!mayRun && isFirstStart && !isListed(run)) {
                 m_possibleRuns.removeStart(run, !isCurrentIncarnation(incarnation));
             }
--- a/tests/batch/agent_test.cpp
+++ b/tests/batch/agent_test.cpp
@@ -348,3 +348,31 @@
     });
     REQUIRE(fixture.calls.back().crashed.empty());
 }
+
+TEST_CASE("A start that an executor left unanswered, as all its calls, may have been carried out late and have been the cause of its crash")
+{
+    bool isOrdered = false;
+    AgentFixture fixture([&](const batch::SyncCall &call) {
+        auto reply = AgentFixture::order(AgentFixture::run("job", 1), 3, isOrdered ? 2 : 1, 5s);
+        if (!isOrdered || call.report.incarnation.instance == "i-2") {
+            reply.orders.runs.clear();
+        }
+        return reply;
+    });
+    fixture.runUntil([&] {
+        return !fixture.calls.empty() && fixture.calls.back().listToken.value() == 3;
+    });
+    fixture.executor.isAway = true;
+    fixture.executor.startResult = {batch::StartOutcome::Unknown, "no answer in time"};
+    fixture.executor.startAnswerDelay = 500ms;
+    fixture.runFor(200ms);
+    isOrdered = true;
+    fixture.runUntil([&] {
+        return fixture.executor.starts.size() == 2;
+    });
+    fixture.executor.listing.running.clear();
+    fixture.announce({"i-2", 2});
+    fixture.runFor(600ms);
+    REQUIRE(fixture.calls.back().report.incarnation.instance == "i-2");
+    REQUIRE(crashedRuns(fixture.calls.back()) == CrashedRuns{{AgentFixture::run("job", 1), false}});
+}
