--- a/src/batch/agent.h
+++ b/src/batch/agent.h
@@ -86,8 +86,8 @@
     void handleHostReport(HostReport report)
     {
         const bool isNewIncarnation = !m_report || m_report->incarnation != report.incarnation;
-        if (isNewIncarnation && m_report && !m_report->isDraining && !m_report->hasLeft) {
-            handleCrash();
+        if (isNewIncarnation && m_report) {
+            handleIncarnationEnd();
         }
         const bool isChanged =
             isNewIncarnation || m_report->isDraining != report.isDraining || m_report->capacity != report.capacity || m_report->labels != report.labels;
@@ -451,9 +451,11 @@
             const RunOrder order = found->second;
             const bool isFirstStart = m_possibleRuns.addStart(run, runtime::Clock::now());
             const bool isExecutorAway = !m_isExecutorReached;
-            const auto result = co_await m_port.start(order, incarnation, m_token, startDeadline(), runtime::Clock::now() + OrderTimeout);
-            // An executor that has crashed may still accept connections, which end without an answer.
-            const bool mayRun = result.outcome == StartOutcome::Started || (result.outcome == StartOutcome::Unknown && !isExecutorAway);
+            const auto answerDeadline = runtime::Clock::now() + OrderTimeout;
+            const auto result = co_await m_port.start(order, incarnation, m_token, startDeadline(), answerDeadline);
+            // An executor that has crashed may still accept connections, which end without an answer. One that stays silent may start the run later.
+            const bool isSilent = runtime::Clock::now() >= answerDeadline;
+            const bool mayRun = result.outcome == StartOutcome::Started || (result.outcome == StartOutcome::Unknown && (!isExecutorAway || isSilent));
             if (!mayRun && isFirstStart && !isListed(run)) {
                 m_possibleRuns.removeStart(run, !isCurrentIncarnation(incarnation));
             }
@@ -575,11 +577,12 @@
         co_return true;
     }
 
-    /** The known incarnation of the executor is gone without notice: keeps what it may have been running, since one of these runs may be the cause. */
-    void handleCrash()
+    /** The known incarnation of the executor is gone. If it gave no notice, keeps what it may have been running: one of these runs may be the cause. */
+    void handleIncarnationEnd()
     {
         const std::size_t runs = m_possibleRuns.size();
-        if (!m_possibleRuns.recordCrash(m_report->incarnation)) {
+        const bool hasGivenNotice = m_report->isDraining || m_report->hasLeft;
+        if (hasGivenNotice || !m_possibleRuns.recordCrash(m_report->incarnation)) {
             return;
         }
         m_crashes.add();
@@ -590,7 +593,7 @@
     /** The executor has restarted without having announced it yet: discards what is known of the earlier incarnation. */
     void handleUnannouncedRestart(const Listing &listing)
     {
-        handleCrash();
+        handleIncarnationEnd();
         if (m_listing) {
             log::write(log::Severity::Info,
                        "executor restarted unannounced",
--- a/tests/batch/agent_test.cpp
+++ b/tests/batch/agent_test.cpp
@@ -187,6 +187,36 @@
     REQUIRE(fixture.calls.back().crashed.empty());
 }
 
+TEST_CASE("The planned end of an executor is no crash if a list of runs is the first to show its next incarnation")
+{
+    AgentFixture fixture([](const batch::SyncCall &) {
+        return AgentFixture::order(AgentFixture::run("job", 1), 3, 1, 5s);
+    });
+    fixture.runUntil([&] {
+        return !fixture.calls.empty() && !fixture.calls.back().running.empty();
+    });
+    SECTION("after it was draining")
+    {
+        fixture.announce({"i-1", 1}, true);
+    }
+    SECTION("after it announced that it leaves")
+    {
+        fixture.announceLeave("i-1");
+    }
+    fixture.executor.listing.running.clear();
+    fixture.executor.listing.born = 2;
+    fixture.runUntil([&] {
+        return fixture.calls.back().running.empty();
+    });
+    fixture.runFor(100ms);
+    REQUIRE(fixture.calls.back().crashed.empty());
+    fixture.announce({"i-1", 2});
+    fixture.runUntil([&] {
+        return fixture.calls.back().report.incarnation.born == 2;
+    });
+    REQUIRE(fixture.calls.back().crashed.empty());
+}
+
 TEST_CASE("A crash that only a list of runs has shown is told even if newer orders for the crashed incarnation come first")
 {
     // The leader learned nothing of the crash, and started the task once more for each.
@@ -318,3 +348,31 @@
     });
     REQUIRE(fixture.calls.back().crashed.empty());
 }
+
+TEST_CASE("A start that an executor left unanswered, as all its calls, may have been carried out late and have been the cause of its crash")
+{
+    bool isOrdered = false;
+    AgentFixture fixture([&](const batch::SyncCall &call) {
+        auto reply = AgentFixture::order(AgentFixture::run("job", 1), 3, isOrdered ? 2 : 1, 5s);
+        if (!isOrdered || call.report.incarnation.instance == "i-2") {
+            reply.orders.runs.clear();
+        }
+        return reply;
+    });
+    fixture.runUntil([&] {
+        return !fixture.calls.empty() && fixture.calls.back().listToken.value() == 3;
+    });
+    fixture.executor.isAway = true;
+    fixture.executor.startResult = {batch::StartOutcome::Unknown, "no answer in time"};
+    fixture.executor.startAnswerDelay = 500ms;
+    fixture.runFor(200ms);
+    isOrdered = true;
+    fixture.runUntil([&] {
+        return fixture.executor.starts.size() == 2;
+    });
+    fixture.executor.listing.running.clear();
+    fixture.announce({"i-2", 2});
+    fixture.runFor(600ms);
+    REQUIRE(fixture.calls.back().report.incarnation.instance == "i-2");
+    REQUIRE(crashedRuns(fixture.calls.back()) == CrashedRuns{{AgentFixture::run("job", 1), false}});
+}
