batch: Try a task elsewhere after an executor has refused to start it

Each attempt is recorded, and takes its share of the store's writes from other jobs.

The host counts now as one on which the unit has failed, so that others are preferred. The new test was run on the code before and failed.

--- a/src/batch/workload.cpp
+++ b/src/batch/workload.cpp
@@ -360,6 +360,10 @@
     if (kind == EndKind::Failed) {
         countFailure(job, unit, member, now);
     }
+    const bool wasRefused = kind == EndKind::Refused && unit.stopReason == StopReason::None;
+    if (wasRefused) {
+        unit.failedHosts.insert(member.host);
+    }
     updateUnitAfterEnd(job, unit, now, wallNow);
 }
 
--- a/src/batch/workload.h
+++ b/src/batch/workload.h
@@ -97,7 +97,7 @@
      */
     std::vector<Member> members;
     StopReason stopReason = StopReason::None;
-    /** Hosts on which it has failed; the planner prefers others. */
+    /** Hosts on which it has failed, or whose executor refused to start it; the planner prefers others. */
     std::set<HostId> failedHosts;
     /** Crashes of executors under its tasks. */
     Crashes crashes;
--- a/tests/batch/workload_test.cpp
+++ b/tests/batch/workload_test.cpp
@@ -451,6 +451,19 @@
     REQUIRE(statusOf(next, "deadly") == batch::JobStatus::Failed);
 }
 
+TEST_CASE("A task that an executor refuses to start is tried on another host")
+{
+    // It went to the same host again and again, with a record of each attempt, while another one was free.
+    WorkloadFixture fixture;
+    fixture.addHost("a", "r1-1");
+    fixture.addHost("b", "r1-1");
+    fixture.addJob("job", "long", "rif", {WorkloadFixture::step(1, 8, 5s)});
+    const auto first = fixture.runRound().placements.at(0).hosts.at(0);
+    fixture.call(first.value()).barred = {WorkloadFixture::run("job", 0, 0, 1)};
+    fixture.sendReport(first.value());
+    REQUIRE(fixture.runRound().placements.at(0).hosts.at(0) != first);
+}
+
 TEST_CASE("A job that lasts outlives any number of executors that crash while it has been at work for long")
 {
     // The fourth crash in its life ended it for good, though it had been at work for days.
