batch: Ask every peer before a relayed call is given up

Callers saw: no answer from an entry that the store turns away, also about accepted jobs, though other entries reach the store. Such an entry relays its reads through peers; where it found none, its policy was not confirmed and it answered every request with 503, for as long as the store turned it away.

And only Unavailable sent a read on to the next peer. A peer that can't even connect says FailedPrecondition (the store client's mark of a call that was never sent), which was taken as the answer, and the same peer was asked first the next time.

Now the loop counts from a fixed place, anything that isn't an answer of the store leads to the next peer, and the next call begins after a peer that failed.

--- a/src/batch/relayed_store.h
+++ b/src/batch/relayed_store.h
@@ -271,17 +271,22 @@
         if (runtime::Clock::now() < m_peersRetryAt) {
             co_return last;
         }
+        const std::size_t first = m_firstPeer;
         for (std::size_t i = 0; i < peers.size() && hasTime(deadline); ++i) {
-            const auto &peer = peers[(m_lastPeer + i) % peers.size()];
-            const auto channel = m_channels.to(peer);
+            const std::size_t index = (first + i) % peers.size();
+            const auto channel = m_channels.to(peers[index]);
             const bool mayAnswerBeLarge = call.operation == RelayedOperation::Follow || call.silence.count() > 0;
             const auto until = mayAnswerBeLarge ? deadline : std::min(deadline, runtime::Clock::now() + PeerTimeout);
             auto result = co_await rpc::call(*channel, call, until);
+            if (result.reply.ok() && isStoreReached(call, *result.reply)) {
+                m_firstPeer = index;
+                co_return std::move(*result.reply);
+            }
+            if (m_firstPeer % peers.size() == index) {
+                m_firstPeer = (index + 1) % peers.size();
+            }
             if (result.reply.ok()) {
-                m_lastPeer = (m_lastPeer + i) % peers.size();
-                const bool isStoreUnavailable = result.reply->code == static_cast<int>(absl::StatusCode::kUnavailable)
-                    || (call.operation == RelayedOperation::Transact && result.reply->write.outcome == store::WriteOutcome::NotSent);
-                if (!isStoreUnavailable || i + 1 == peers.size()) {
+                if (i + 1 == peers.size()) {
                     co_return std::move(*result.reply);
                 }
                 continue;
@@ -296,6 +301,15 @@
         co_return last;
     }
 
+    /** Whether the peer had an answer of the store; a call that never left the peer may fail with another code than one without an answer. */
+    static bool isStoreReached(const RelayCall &call, const RelayReply &reply)
+    {
+        if (call.operation == RelayedOperation::Transact) {
+            return reply.write.outcome != store::WriteOutcome::NotSent;
+        }
+        return reply.code == static_cast<int>(absl::StatusCode::kOk) || reply.code == static_cast<int>(absl::StatusCode::kOutOfRange);
+    }
+
     static absl::StatusOr<store::ReadResult> toReadResult(const absl::StatusOr<RelayReply> &reply)
     {
         if (!reply.ok()) {
@@ -314,8 +328,8 @@
     runtime::Instant m_directRetryAt{};
     /** Until this time calls fail immediately, because no peer answered. */
     runtime::Instant m_peersRetryAt{};
-    /** Index of the peer that answered last. */
-    std::size_t m_lastPeer = 0;
+    /** Index of the peer to ask first: the one that reached the store last, or the one after a peer that didn't. */
+    std::size_t m_firstPeer = 0;
 };
 
 } // namespace plantainfork::batch
