batch: Look a job's state up for as long as its bytes come

The state, and the job that a repeated submission meets, are read with the limits of a large value now.

--- a/src/batch/job_request_handler.h
+++ b/src/batch/job_request_handler.h
@@ -134,7 +134,7 @@
                 co_await runtime::sleepFor(RetryDelay);
             }
             if (result.outcome == store::WriteOutcome::Conflict) {
-                const auto known = co_await m_store.readPrefix(keys::jobPrefix(id), storeDeadlineFor(caller));
+                const auto known = co_await m_store.readPrefix(keys::jobPrefix(id), readLimitsFor(caller));
                 if (!known.ok()) {
                     reason = std::string(known.status().message());
                     co_await runtime::sleepFor(RetryDelay);
@@ -286,6 +286,12 @@
         return std::min(caller.deadline - ReplyMargin, runtime::Clock::now() + StoreCallTimeout);
     }
 
+    /** Limits of a read of values that may be large: one that was cut off would begin again from its start. */
+    static store::ReadLimits readLimitsFor(const Caller &caller)
+    {
+        return {caller.deadline - ReplyMargin, StoreCallTimeout};
+    }
+
     /** The answer to a caller that must not be served, if any. With a policy that may be outdated, callers are told to retry. */
     std::optional<Answer> checkCaller(const Caller &caller, const std::string &id)
     {
@@ -343,8 +349,7 @@
     /** Reads the job and, if it exists, its state. */
     asio::awaitable<absl::StatusOr<Answer>> lookUp(base::JobId id, Caller caller)
     {
-        const store::ReadLimits limits{caller.deadline - ReplyMargin, StoreCallTimeout};
-        const auto job = co_await m_store.readPrefix(keys::jobPrefix(id), limits);
+        const auto job = co_await m_store.readPrefix(keys::jobPrefix(id), readLimitsFor(caller));
         if (!job.ok()) {
             co_return job.status();
         }
@@ -352,12 +357,12 @@
         if (job->entries.empty()) {
             co_return answer;
         }
-        const auto state = co_await m_store.read(keys::state(id), storeDeadlineFor(caller));
+        const auto state = co_await m_store.readPrefix(keys::state(id), readLimitsFor(caller));
         if (!state.ok()) {
             co_return state.status();
         }
         answer.kind = AnswerKind::State;
-        if (!state->entries.empty()) {
+        if (!state->entries.empty() && state->entries.front().key == keys::state(id)) {
             const auto decoded = wire::decode<JobState>(state->entries.front().value);
             if (!decoded.ok()) {
                 log::write(log::Severity::Error, "state record unreadable", {{"job", id.value()}, {"reason", std::string(decoded.status().message())}});
--- a/tests/platform/policy_feed_test.cpp
+++ b/tests/platform/policy_feed_test.cpp
@@ -50,6 +50,20 @@
         store.put("op/config", standins::Json{{"Version", version}, {"Routes", std::move(routes)}}.dump());
     }
 
+    /** Puts a policy with one queue in force, without the feed. */
+    void setQueue()
+    {
+        auto policy = std::make_shared<batch::Policy>();
+        batch::Queue queue;
+        queue.id = batch::QueueId("queue");
+        queue.host = "h.example";
+        queue.prefix = "/queue/";
+        queue.isPublic = true;
+        policy->queues[queue.id] = queue;
+        holder.set(policy, {});
+        holder.confirm(runtime::Clock::now());
+    }
+
     /** Runs until the version is in force and confirmed; returns whether that was within the time. */
     bool runUntilInForce(std::uint64_t version, std::chrono::milliseconds time)
     {
@@ -107,29 +121,40 @@
     REQUIRE(entry.runUntilInForce(2, 30s));
 }
 
-TEST_CASE("The state of a job for which the line needs longer than for a usual call is told all the same")
+TEST_CASE("A job whose submission or state takes an entry's line longer than a usual call is told all the same")
 {
     PolicyOverSlowLine entry(10'000'000);
-    auto policy = std::make_shared<batch::Policy>();
-    batch::Queue queue;
-    queue.id = batch::QueueId("queue");
-    queue.host = "h.example";
-    queue.prefix = "/queue/";
-    queue.isPublic = true;
-    policy->queues[queue.id] = queue;
-    entry.holder.set(policy, {});
-    entry.holder.confirm(runtime::Clock::now());
-    batch::JobSpec spec;
-    spec.id = base::JobId("large");
-    spec.payload = std::string(500'000, 'x');
-    spec.steps.resize(1);
-    entry.store.put(batch::keys::job(spec.id, batch::keys::JobPart::Spec), wire::encode(spec));
+    entry.setQueue();
     batch::JobRequestHandler<RelayedStore> handler(entry.relayed,
                                                    entry.holder,
                                                    entry.metrics,
                                                    []() -> boost::asio::awaitable<std::optional<batch::PendingReply>> {
                                                        co_return std::nullopt;
                                                    });
+    batch::JobSpec spec;
+    spec.id = base::JobId("large");
+    spec.steps.resize(1);
+    spec.steps[0].tasks = 1;
+    SECTION("a large submission")
+    {
+        spec.payload = std::string(500'000, 'x');
+    }
+    SECTION("a large state")
+    {
+        batch::JobState state;
+        state.status = batch::JobStatus::Active;
+        for (std::uint32_t i = 0; i < 40'000; ++i) {
+            batch::UnitRecord unit;
+            unit.index = i;
+            unit.isDone = true;
+            unit.attempt = batch::Attempt(1);
+            state.units.push_back(unit);
+        }
+        const std::string value = wire::encode(state);
+        REQUIRE(value.size() >= 500'000);
+        entry.store.put(batch::keys::state(spec.id), value);
+    }
+    entry.store.put(batch::keys::job(spec.id, batch::keys::JobPart::Spec), wire::encode(spec));
     const batch::Caller caller{"h.example", "/queue/large", "", runtime::Clock::now() + 3s};
     const auto answer = tests::runOn(entry.context, handler.status(caller, spec.id));
     REQUIRE(answer.kind == batch::AnswerKind::State);
