batch: Count crashes of executors whose agents ended with them

Cause: only the agent's process knows what its executor may have had. Where it is killed with the executor, the next one tells of a plain restart, and the crash was not counted.

When another process of the agent reports another incarnation of the executor, and the earlier one was neither draining nor had left, the leader now counts a crash for each run placed there. Whether the run had begun isn't known, so it is a bystander: nothing becomes a suspect, and the task is given up only with the fourth crash. A new leader doesn't know which process reported before and counts likewise. Tasks that last are left out.

--- a/src/batch/workload.h
+++ b/src/batch/workload.h
@@ -196,6 +196,8 @@
     unsigned consecutiveFailures = 0;
     /** The host gets no new work before this time. */
     Instant suspendedUntil;
+    /** The process of the agent that sent the report. */
+    std::uint64_t reportedBy = 0;
     /** When a crash of its executor was last heard of; Instant() if none was. */
     Instant crashedAt;
     /** Units with members on this host, in the order of their placement. */
@@ -315,6 +317,13 @@
     bool applyBarredRuns(Host &host, const SyncCall &call, Instant now, WallTime wallNow);
     /** Counts a crash for each unit that had a run on the executor, and gives up the jobs of those that are likely to be the cause. */
     bool applyCrashedRuns(Host &host, const SyncCall &call, Instant now, WallTime wallNow);
+    /** Counts a crash under a task of the unit, and gives the job up if the task is the likely cause. Returns false if it doesn't count. */
+    bool countCrash(Job &job, Unit &unit, const Crash &crash, std::size_t runsOnExecutor, WallTime wallNow);
+    /**
+     * Counts a crash of which no agent could tell, as it had ended, too, for each unit that may have had a run there. Whether the run had begun
+     * isn't known, so such a crash makes nothing a suspect.
+     */
+    void countUnseenCrashes(const Host &host, Instant now, WallTime wallNow);
     /**
      * Marks runs of an earlier incarnation of the host's executor as lost. A run whose order the present incarnation may have received is
      * ordered to stop instead, so that it is barred there before the task starts elsewhere.
--- a/src/batch/workload_reports.cpp
+++ b/src/batch/workload_reports.cpp
@@ -57,6 +57,9 @@
     const bool hasJustLeft = call.report.hasLeft && (isNew || !host.report.hasLeft);
     const bool isChanged = isNew || hasJustLeft || host.report.isDraining != call.report.isDraining || host.report.capacity != call.report.capacity
         || host.report.labels != call.report.labels;
+    // An agent tells of its executor's crash, unless it has ended, too. What an earlier leader knew of this one's agent isn't recorded.
+    const bool hasEndedUnseen = isNew && (!host.hasReport || (host.reportedBy != call.agentIncarnation && !host.report.isDraining && !host.report.hasLeft));
+    host.reportedBy = call.agentIncarnation;
     host.report = call.report;
     if (isChanged) {
         host.rack = rackOf(host.report);
@@ -71,6 +74,9 @@
         host.unexpectedRuns.clear();
         host.consecutiveFailures = 0;
         host.suspendedUntil = Instant();
+        if (hasEndedUnseen) {
+            countUnseenCrashes(host, now, wallNow);
+        }
         resolveRestartedExecutor(host, now, wallNow);
     }
     return isChanged;
@@ -192,30 +198,52 @@
         const auto job = m_jobs.find(run.task.job);
         Unit *unit = job != m_jobs.end() ? job->second.unit(run.task) : nullptr;
         const Crash crash{run.attempt, run.task.index, host.id, blameFor(crashed[i], crashed)};
-        if (unit == nullptr || unit->phase == UnitPhase::Done || isEnded(job->second.status) || !addCrash(unit->crashes, crash)) {
+        if (unit != nullptr && countCrash(job->second, *unit, crash, call.crashed.size(), wallNow)) {
+            isChanged = true;
+            host.crashedAt = now;
+        }
+    }
+    return isChanged;
+}
+
+bool Workload::countCrash(Job &job, Unit &unit, const Crash &crash, std::size_t runsOnExecutor, WallTime wallNow)
+{
+    if (unit.phase == UnitPhase::Done || isEnded(job.status) || !addCrash(unit.crashes, crash)) {
+        return false;
+    }
+    job.isDirty = true;
+    const TaskId task{job.spec.id, unit.occurrence, unit.step, crash.task};
+    log("executor crashed under run",
+        {{"job", job.spec.id.value()},
+         {"task", task.text()},
+         {"attempt", std::to_string(crash.attempt.value())},
+         {"host", crash.host.value()},
+         {"blame", std::string(crashBlameText(crash.blame))},
+         {"crashes", std::to_string(countCrashes(unit.crashes, crash.task))},
+         {"runs_on_executor", std::to_string(runsOnExecutor)}});
+    if (isGivenUp(unit.crashes, crash.task)) {
+        log("unit given up",
+            {{"job", job.spec.id.value()}, {"task", task.text()}, {"reason", "executors crash under it"}, {"blame", std::string(crashBlameText(crash.blame))}});
+        endJob(job, JobStatus::Failed, wallNow);
+    }
+    return true;
+}
+
+void Workload::countUnseenCrashes(const Host &host, Instant now, WallTime wallNow)
+{
+    const auto units = host.units;
+    for (const auto &[job, unit] : units) {
+        if (job->stepOf(*unit).isLongRunning) {
             continue;
         }
-        isChanged = true;
-        host.crashedAt = now;
-        job->second.isDirty = true;
-        log("executor crashed under run",
-            {{"job", run.task.job.value()},
-             {"task", run.task.text()},
-             {"attempt", std::to_string(run.attempt.value())},
-             {"host", host.id.value()},
-             {"blame", std::string(crashBlameText(crash.blame))},
-             {"crashes", std::to_string(countCrashes(unit->crashes, crash.task))},
-             {"runs_on_executor", std::to_string(call.crashed.size())}});
-        if (isGivenUp(unit->crashes, run.task.index)) {
-            log("unit given up",
-                {{"job", run.task.job.value()},
-                 {"task", run.task.text()},
-                 {"reason", "executors crash under it"},
-                 {"blame", std::string(crashBlameText(crash.blame))}});
-            endJob(job->second, JobStatus::Failed, wallNow);
+        for (std::size_t i = 0; i < unit->members.size(); ++i) {
+            const Member &member = unit->members[i];
+            const bool isLost = member.host == host.id && member.phase != MemberPhase::Ended && member.incarnation != host.report.incarnation;
+            if (isLost && countCrash(*job, *unit, {unit->attempt, job->taskOf(*unit, i).index, host.id, CrashBlame::Bystander}, units.size(), wallNow)) {
+                hostFor(host.id).crashedAt = now;
+            }
         }
     }
-    return isChanged;
 }
 
 void Workload::resolveRestartedExecutor(const Host &host, Instant now, WallTime wallNow)
--- a/tests/batch/workload_test.cpp
+++ b/tests/batch/workload_test.cpp
@@ -451,6 +451,59 @@
     REQUIRE(statusOf(next, "deadly") == batch::JobStatus::Failed);
 }
 
+TEST_CASE("A task under which executors crash together with their agents is given up, too")
+{
+    // Agents that were killed with their executors couldn't tell of the crash, and the task was started again and again.
+    WorkloadFixture fixture;
+    fixture.addHost("a", "r1-1");
+    auto step = WorkloadFixture::step(1, 8, 5s);
+    const auto restartHost = [&](bool hasNewAgent) {
+        fixture.call("a").agentIncarnation += hasNewAgent ? 1 : 0;
+        crashExecutor(fixture, batch::HostId("a"), {});
+    };
+    SECTION("at the fourth crash")
+    {
+        fixture.addJob("job", "long", "rif", {step});
+        for (int crash = 1; crash <= 4; ++crash) {
+            REQUIRE(fixture.runRound().placements.size() == 1);
+            REQUIRE(statusOf(fixture, "job") == batch::JobStatus::Active);
+            restartHost(true);
+        }
+        REQUIRE(statusOf(fixture, "job") == batch::JobStatus::Failed);
+    }
+    SECTION("but not for executors that ended as planned")
+    {
+        fixture.addJob("job", "long", "rif", {step});
+        for (int end = 1; end <= 5; ++end) {
+            REQUIRE(fixture.runRound().placements.size() == 1);
+            fixture.call("a").report.isDraining = true;
+            fixture.sendReport("a");
+            fixture.call("a").report.isDraining = false;
+            restartHost(true);
+        }
+        REQUIRE(statusOf(fixture, "job") == batch::JobStatus::Active);
+    }
+    SECTION("but not for what an agent that lives on says has not begun")
+    {
+        fixture.addJob("job", "long", "rif", {step});
+        for (int crash = 1; crash <= 5; ++crash) {
+            REQUIRE(fixture.runRound().placements.size() == 1);
+            restartHost(false);
+        }
+        REQUIRE(statusOf(fixture, "job") == batch::JobStatus::Active);
+    }
+    SECTION("but not for a task that lasts")
+    {
+        step.isLongRunning = true;
+        fixture.addJob("job", "long", "rif", {step});
+        for (int crash = 1; crash <= 5; ++crash) {
+            REQUIRE(fixture.runRound().placements.size() == 1);
+            restartHost(true);
+        }
+        REQUIRE(statusOf(fixture, "job") == batch::JobStatus::Active);
+    }
+}
+
 TEST_CASE("A task that an executor refuses to start is tried on another host")
 {
     // It went to the same host again and again, with a record of each attempt, while another one was free.
