soak: Count only starts that a task's crashes may have ended

The logs show that three executors had crashed under it (two of them killed with their agents, one with another task that had just begun), and that its next three starts each ended as failed, after 480 ms, by the executor's own word. The platform's rule is about a task that crashes the executors that start it; these starts did not.

The ledger now leaves out starts that ended by themselves, done or failed. Starts that crash, are stopped, lapse or never end count as before; the test has a case for each side. countUnseenCrashes() also takes its host as what it changes.

--- a/src/batch/workload.h
+++ b/src/batch/workload.h
@@ -323,7 +323,7 @@
      * Counts a crash of which no agent could tell, as it had ended, too, for each unit that may have had a run there. Whether the run had begun
      * isn't known, so such a crash makes nothing a suspect.
      */
-    void countUnseenCrashes(const Host &host, Instant now, WallTime wallNow);
+    void countUnseenCrashes(Host &host, Instant now, WallTime wallNow);
     /**
      * Marks runs of an earlier incarnation of the host's executor as lost. A run whose order the present incarnation may have received is
      * ordered to stop instead, so that it is barred there before the task starts elsewhere.
--- a/src/batch/workload_reports.cpp
+++ b/src/batch/workload_reports.cpp
@@ -229,7 +229,7 @@
     return true;
 }
 
-void Workload::countUnseenCrashes(const Host &host, Instant now, WallTime wallNow)
+void Workload::countUnseenCrashes(Host &host, Instant now, WallTime wallNow)
 {
     const auto units = host.units;
     for (const auto &[job, unit] : units) {
@@ -240,7 +240,7 @@
             const Member &member = unit->members[i];
             const bool isLost = member.host == host.id && member.phase != MemberPhase::Ended && member.incarnation != host.report.incarnation;
             if (isLost && countCrash(*job, *unit, {unit->attempt, job->taskOf(*unit, i).index, host.id, CrashBlame::Bystander}, units.size(), wallNow)) {
-                hostFor(host.id).crashedAt = now;
+                host.crashedAt = now;
             }
         }
     }
--- a/tests/platform/soak/ledger.cpp
+++ b/tests/platform/soak/ledger.cpp
@@ -229,6 +229,11 @@
     if (const auto run = entry.running.find(executor); run != entry.running.end()) {
         entry.running.erase(run);
     }
+    // The rule is about tasks that crash the executors which start them, and this start ended by itself.
+    const bool endedByItself = how == "done" || how == "failed";
+    if (endedByItself && entry.startsSinceCrashes > 0) {
+        --entry.startsSinceCrashes;
+    }
     if (how == "failed") {
         TaskName unit = task;
         unit.index = job->second.plan.steps.at(task.step).isGang ? 0 : task.index;
--- a/tests/platform/soak/ledger_test.cpp
+++ b/tests/platform/soak/ledger_test.cpp
@@ -217,6 +217,20 @@
         crashOn("b", 6);
         REQUIRE(history.breaks("budget"));
     }
+    SECTION("a third time after one that ended by itself, and a fourth")
+    {
+        history.ledger.ended(First, 5, "failed", "a");
+        crashOn("b", 6);
+        REQUIRE(history.ledger.violations().empty());
+        crashOn("b", 7);
+        REQUIRE(history.breaks("budget"));
+    }
+    SECTION("a third time after one that was stopped")
+    {
+        history.ledger.ended(First, 5, "stopped", "a");
+        crashOn("b", 6);
+        REQUIRE(history.breaks("budget"));
+    }
     SECTION("another task")
     {
         history.start({Job, 0, 1, 0}, 1, "b");
