batch: Let agents say whether they have seen an executor end

The agent's calls say now whether its process has known an earlier incarnation; if it has, what it tells of crashes is all. The new sections cover a new leader with such an agent and with a new one, and the agent's flag.

--- a/src/batch/agent.h
+++ b/src/batch/agent.h
@@ -88,6 +88,7 @@
         const bool isNewIncarnation = !m_report || m_report->incarnation != report.incarnation;
         if (isNewIncarnation && m_report) {
             handleIncarnationEnd();
+            m_hasSeenEnd = true;
         }
         const bool isChanged =
             isNewIncarnation || m_report->isDraining != report.isDraining || m_report->capacity != report.capacity || m_report->labels != report.labels;
@@ -214,6 +215,7 @@
         call.starting.assign(m_starting.begin(), m_starting.end());
         call.starting.insert(call.starting.end(), m_unlisted.begin(), m_unlisted.end());
         call.crashed = m_possibleRuns.crashed();
+        call.hasSeenEnd = m_hasSeenEnd;
         call.wait = wait;
         return call;
     }
@@ -718,6 +720,8 @@
     /** Started but not listed yet: only a listing shows which incarnation of the executor has them. */
     std::set<RunId> m_unlisted;
     PossibleRuns m_possibleRuns;
+    /** This process has known an earlier incarnation of the executor. */
+    bool m_hasSeenEnd = false;
     std::set<RunId> m_stopping;
     /** Runs that have never started and never will. */
     std::set<RunId> m_barred;
--- a/src/batch/messages.h
+++ b/src/batch/messages.h
@@ -85,6 +85,8 @@
     std::vector<RunId> starting;
     /** Runs that an earlier incarnation of the executor had, or may have had, when it crashed; repeated until the leader has recorded them. */
     std::vector<CrashedRun> crashed;
+    /** The agent's process knew an earlier incarnation, too, so `crashed` tells whether that one has crashed. */
+    bool hasSeenEnd = false;
     /** How long the leader may hold the call while there are no newer orders. */
     std::chrono::milliseconds wait{0};
 
@@ -102,6 +104,7 @@
                        barred,
                        starting,
                        crashed,
+                       hasSeenEnd,
                        wait);
 };
 
--- a/src/batch/workload.h
+++ b/src/batch/workload.h
@@ -196,8 +196,6 @@
     unsigned consecutiveFailures = 0;
     /** The host gets no new work before this time. */
     Instant suspendedUntil;
-    /** The process of the agent that sent the report. */
-    std::uint64_t reportedBy = 0;
     /** When a crash of its executor was last heard of; Instant() if none was. */
     Instant crashedAt;
     /** Units with members on this host, in the order of their placement. */
--- a/src/batch/workload_reports.cpp
+++ b/src/batch/workload_reports.cpp
@@ -57,9 +57,9 @@
     const bool hasJustLeft = call.report.hasLeft && (isNew || !host.report.hasLeft);
     const bool isChanged = isNew || hasJustLeft || host.report.isDraining != call.report.isDraining || host.report.capacity != call.report.capacity
         || host.report.labels != call.report.labels;
-    // An agent tells of its executor's crash, unless it has ended, too. What an earlier leader knew of this one's agent isn't recorded.
-    const bool hasEndedUnseen = isNew && (!host.hasReport || (host.reportedBy != call.agentIncarnation && !host.report.isDraining && !host.report.hasLeft));
-    host.reportedBy = call.agentIncarnation;
+    // An agent tells of its executor's crash, unless it has ended, too.
+    const bool hasGivenNotice = host.hasReport && (host.report.isDraining || host.report.hasLeft);
+    const bool hasEndedUnseen = isNew && !call.hasSeenEnd && !hasGivenNotice;
     host.report = call.report;
     if (isChanged) {
         host.rack = rackOf(host.report);
--- a/tests/batch/agent_test.cpp
+++ b/tests/batch/agent_test.cpp
@@ -187,6 +187,22 @@
     REQUIRE(fixture.calls.back().crashed.empty());
 }
 
+TEST_CASE("An agent tells whether it has seen an earlier incarnation of its executor end")
+{
+    AgentFixture fixture([](const batch::SyncCall &) {
+        return AgentFixture::order(AgentFixture::run("job", 1), 3, 1, 5s);
+    });
+    fixture.runUntil([&] {
+        return !fixture.calls.empty();
+    });
+    REQUIRE_FALSE(fixture.calls.back().hasSeenEnd);
+    fixture.announce({"i-2", 2});
+    fixture.runUntil([&] {
+        return fixture.calls.back().report.incarnation.instance == "i-2";
+    });
+    REQUIRE(fixture.calls.back().hasSeenEnd);
+}
+
 TEST_CASE("The planned end of an executor is no crash if a list of runs is the first to show its next incarnation")
 {
     AgentFixture fixture([](const batch::SyncCall &) {
--- a/tests/batch/workload_test.cpp
+++ b/tests/batch/workload_test.cpp
@@ -459,6 +459,7 @@
     auto step = WorkloadFixture::step(1, 8, 5s);
     const auto restartHost = [&](bool hasNewAgent) {
         fixture.call("a").agentIncarnation += hasNewAgent ? 1 : 0;
+        fixture.call("a").hasSeenEnd = !hasNewAgent;
         crashExecutor(fixture, batch::HostId("a"), {});
     };
     SECTION("at the fourth crash")
@@ -492,6 +493,27 @@
         }
         REQUIRE(statusOf(fixture, "job") == batch::JobStatus::Active);
     }
+    SECTION("but not for what an agent that lives on tells another leader")
+    {
+        auto &job = fixture.addJob("job", "long", "rif", {step});
+        REQUIRE(fixture.runRound().placements.size() == 1);
+        WorkloadFixture next;
+        next.workload.addJob(job.spec, fixture.workload.recordOf(job), next.now, next.wallNow());
+        auto call = fixture.call("a");
+        call.report.incarnation = {"i-next", 2};
+        SECTION("if it has seen the executor end")
+        {
+            call.hasSeenEnd = true;
+            next.workload.applySync(call, next.now, next.wallNow());
+            REQUIRE(unitOf(next, "job").crashes.empty());
+        }
+        SECTION("unless it has begun since")
+        {
+            call.hasSeenEnd = false;
+            next.workload.applySync(call, next.now, next.wallNow());
+            REQUIRE(unitOf(next, "job").crashes.size() == 1);
+        }
+    }
     SECTION("but not for a task that lasts")
     {
         step.isLongRunning = true;
