--- a/tests/batch/workload_fixture.h
+++ b/tests/batch/workload_fixture.h
@@ -176,4 +176,9 @@
     std::map<std::string, batch::SyncCall> m_calls;
 };
 
+inline batch::Unit &unitOf(WorkloadFixture &fixture, const std::string &job, std::size_t index = 0)
+{
+    return fixture.workload.jobs().at(base::JobId(job)).units.at(index);
+}
+
 } // namespace plantainfork::tests
