batch: Let the executor itself confirm its next incarnation

Cause: an agent took any id with a later birth for its executor's next life.

An announcement of another address, or of another service or data centre for the known incarnation, is another writer's now. Any other incarnation counts once the executor has answered a call for its runs that is addressed to it, with the announced birth. An agent without a fencing token fetches it with a call that isn't held, since an executor may be silent to lower tokens.

The valid sample in json_test has an address now, as heartbeats have.

--- a/src/batch/agent.h
+++ b/src/batch/agent.h
@@ -82,7 +82,7 @@
         });
     }
 
-    /** Handles a report of the executor. The caller must drop outdated reports of the same incarnation. */
+    /** Handles a report of the executor. AnnouncedExecutor drops outdated reports, and those of other writers. */
     void handleHostReport(HostReport report)
     {
         const bool isNewIncarnation = !m_report || m_report->incarnation != report.incarnation;
@@ -124,9 +124,10 @@
         }
     }
 
-    [[nodiscard]] const std::optional<HostReport> &report() const
+    /** The leader's fencing token; FencingToken() until a leader has answered. */
+    [[nodiscard]] base::FencingToken token() const
     {
-        return m_report;
+        return m_token;
     }
 
 private:
@@ -154,7 +155,8 @@
     {
         unsigned failures = 0;
         while (true) {
-            const bool isReached = co_await callLeader(CallWait);
+            // The first call isn't held: until the token is known, the executor can neither be asked for its runs nor be confirmed.
+            const bool isReached = co_await callLeader(m_token == base::FencingToken() ? std::chrono::milliseconds(0) : CallWait);
             if (isReached) {
                 failures = 0;
                 continue;
--- /dev/null
+++ b/src/batch/announcement.cpp
@@ -0,0 +1,48 @@
+#include "batch/announcement.h"
+
+namespace plantainfork::batch
+{
+
+AnnouncementVerdict judgeAnnouncement(const std::optional<Announcement> &known, const Announcement &next, const wire::Address &executor)
+{
+    if (next.address != executor) {
+        return AnnouncementVerdict::Foreign;
+    }
+    if (!known || known->report.incarnation != next.report.incarnation) {
+        return AnnouncementVerdict::Unconfirmed;
+    }
+    // An incarnation keeps its service and its data centre.
+    if (known->report.service != next.report.service || known->report.dataCentre != next.report.dataCentre) {
+        return AnnouncementVerdict::Foreign;
+    }
+    return next.sequence > known->sequence ? AnnouncementVerdict::Update : AnnouncementVerdict::Outdated;
+}
+
+Confirmation judgeConfirmation(const HostIncarnation &announced, const absl::StatusOr<Listing> &answer)
+{
+    if (answer.ok()) {
+        const bool isSame = answer->born == 0 || answer->born == announced.born;
+        return isSame ? Confirmation::Confirmed : Confirmation::Denied;
+    }
+    if (absl::IsNotFound(answer.status())) {
+        return Confirmation::Denied;
+    }
+    return absl::IsAborted(answer.status()) ? Confirmation::Fenced : Confirmation::Unknown;
+}
+
+std::string_view confirmationText(Confirmation confirmation)
+{
+    switch (confirmation) {
+    case Confirmation::Confirmed:
+        return "confirmed";
+    case Confirmation::Denied:
+        return "denied";
+    case Confirmation::Fenced:
+        return "fenced";
+    case Confirmation::Unknown:
+        return "unknown";
+    }
+    return "unknown";
+}
+
+} // namespace plantainfork::batch
--- /dev/null
+++ b/src/batch/announcement.h
@@ -0,0 +1,60 @@
+/**
+ * Decides which announcements an agent takes for those of its executor. Pure functions: no I/O and no clock.
+ *
+ * The load that they answer: an executor announces itself every second or two; another writer may announce anything beside it, also under
+ * the executor's id; and an announcement that was delayed may arrive after its sender has crashed and another incarnation has started.
+ */
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string_view>
+
+#include <absl/status/statusor.h>
+
+#include "batch/executor_port.h"
+#include "batch/model.h"
+#include "wire/member_messages.h"
+
+namespace plantainfork::batch
+{
+
+/** What an executor, or whoever claims to be one, says of itself. */
+struct Announcement {
+    HostReport report;
+    /** Where it takes orders. */
+    wire::Address address;
+    /** Orders the announcements of one incarnation. */
+    std::uint64_t sequence = 0;
+};
+
+enum class AnnouncementVerdict {
+    /** A newer report of the known incarnation. */
+    Update,
+    /** A report of the known incarnation that is not newer than the last one. */
+    Outdated,
+    /** It may be the executor's next incarnation, or not: only the executor itself can tell. */
+    Unconfirmed,
+    /** Another writer's: it is not about this executor. */
+    Foreign,
+};
+
+/** `known`: the last announcement that was taken, if any; `executor`: the address of the agent's executor. */
+[[nodiscard]] AnnouncementVerdict judgeAnnouncement(const std::optional<Announcement> &known, const Announcement &next, const wire::Address &executor);
+
+enum class Confirmation {
+    Confirmed,
+    /** The executor is another incarnation. */
+    Denied,
+    /** The executor has seen a higher fencing token, and says nothing to lower ones. */
+    Fenced,
+    /** No answer, or none that tells. */
+    Unknown,
+};
+
+/** What the executor's answer to a call that was addressed to the incarnation says about it. */
+[[nodiscard]] Confirmation judgeConfirmation(const HostIncarnation &announced, const absl::StatusOr<Listing> &answer);
+
+[[nodiscard]] std::string_view confirmationText(Confirmation confirmation);
+
+} // namespace plantainfork::batch
--- /dev/null
+++ b/tests/batch/announcement_test.cpp
@@ -0,0 +1,73 @@
+/** Which announcements an agent takes for its executor's, and what confirms a new incarnation. */
+#include <catch2/catch.hpp>
+
+#include "batch/announcement.h"
+
+using namespace plantainfork;
+using batch::AnnouncementVerdict;
+using batch::Confirmation;
+
+namespace
+{
+
+const wire::Address ExecutorAddress{"10.0.0.1", 8080};
+
+batch::Announcement announcement(const std::string &instance, std::uint64_t born, std::uint64_t sequence)
+{
+    batch::Announcement result;
+    result.report.incarnation = {instance, born};
+    result.report.service = base::ServiceId("ledger");
+    result.address = ExecutorAddress;
+    result.sequence = sequence;
+    return result;
+}
+
+} // namespace
+
+TEST_CASE("Announcements of a known incarnation count in their order")
+{
+    const std::optional known(announcement("i-1", 5, 4));
+    REQUIRE(judgeAnnouncement(known, announcement("i-1", 5, 5), ExecutorAddress) == AnnouncementVerdict::Update);
+    REQUIRE(judgeAnnouncement(known, announcement("i-1", 5, 4), ExecutorAddress) == AnnouncementVerdict::Outdated);
+    REQUIRE(judgeAnnouncement(known, announcement("i-1", 5, 3), ExecutorAddress) == AnnouncementVerdict::Outdated);
+}
+
+TEST_CASE("Any other incarnation has to be confirmed, whatever its birth says")
+{
+    const std::optional known(announcement("i-1", 5, 4));
+    REQUIRE(judgeAnnouncement(known, announcement("i-1", 6, 1), ExecutorAddress) == AnnouncementVerdict::Unconfirmed);
+    REQUIRE(judgeAnnouncement(known, announcement("i-1", 4, 1), ExecutorAddress) == AnnouncementVerdict::Unconfirmed);
+    REQUIRE(judgeAnnouncement(known, announcement("i-2", 6, 1), ExecutorAddress) == AnnouncementVerdict::Unconfirmed);
+    REQUIRE(judgeAnnouncement(std::nullopt, announcement("i-1", 5, 4), ExecutorAddress) == AnnouncementVerdict::Unconfirmed);
+}
+
+TEST_CASE("An announcement of another address, or of another service for the known incarnation, is another writer's")
+{
+    const std::optional known(announcement("i-1", 5, 4));
+    auto elsewhere = announcement("i-2", 6, 1);
+    elsewhere.address.port = 9;
+    REQUIRE(judgeAnnouncement(known, elsewhere, ExecutorAddress) == AnnouncementVerdict::Foreign);
+    REQUIRE(judgeAnnouncement(std::nullopt, elsewhere, ExecutorAddress) == AnnouncementVerdict::Foreign);
+    auto otherService = announcement("i-1", 5, 9);
+    otherService.report.service = base::ServiceId("other");
+    REQUIRE(judgeAnnouncement(known, otherService, ExecutorAddress) == AnnouncementVerdict::Foreign);
+    auto otherDataCentre = announcement("i-1", 5, 9);
+    otherDataCentre.report.dataCentre = base::DataCentreId("fold");
+    REQUIRE(judgeAnnouncement(known, otherDataCentre, ExecutorAddress) == AnnouncementVerdict::Foreign);
+}
+
+TEST_CASE("Only an executor that answers as the announced incarnation confirms it")
+{
+    const batch::HostIncarnation announced{"i-1", 5};
+    batch::Listing listing;
+    listing.born = 5;
+    REQUIRE(judgeConfirmation(announced, listing) == Confirmation::Confirmed);
+    listing.born = 0;
+    REQUIRE(judgeConfirmation(announced, listing) == Confirmation::Confirmed);
+    listing.born = 6;
+    REQUIRE(judgeConfirmation(announced, listing) == Confirmation::Denied);
+    REQUIRE(judgeConfirmation(announced, absl::NotFoundError("421")) == Confirmation::Denied);
+    REQUIRE(judgeConfirmation(announced, absl::AbortedError("409 fence")) == Confirmation::Fenced);
+    REQUIRE(judgeConfirmation(announced, absl::UnavailableError("503")) == Confirmation::Unknown);
+    REQUIRE(judgeConfirmation(announced, absl::DeadlineExceededError("no reply")) == Confirmation::Unknown);
+}
--- a/tests/platform/json_test.cpp
+++ b/tests/platform/json_test.cpp
@@ -52,11 +52,12 @@
 
 TEST_CASE("An announcement of another writer names no executor to use")
 {
-    const std::string valid = R"({"Service":"s","Zone":"z","State":"ready","Capacity":{"Cpu":1,"MemMb":2,"Gpu":3},"Labels":["a","r1-3"],"Seq":4,"born":5})";
+    const std::string valid = R"({"Service":"s","Addr":"10.0.0.1:8080","Zone":"z","State":"ready","Capacity":{"Cpu":1,"MemMb":2,"Gpu":3},"Labels":["a","r1-3"],"Seq":4,"born":5})";
     const auto announcement = platform::decodeAnnouncement("i-1", valid);
     REQUIRE(announcement.ok());
     REQUIRE(announcement->report.capacity == batch::Resources{1, 2, 3});
     REQUIRE(announcement->report.incarnation == batch::HostIncarnation{"i-1", 5});
+    REQUIRE(announcement->address == wire::Address{"10.0.0.1", 8080});
     REQUIRE_FALSE(platform::decodeAnnouncement("i-1", R"({"Service":"s","Zone":"z","State":"dreaming","Capacity":{}})").ok());
     REQUIRE_FALSE(platform::decodeAnnouncement("i-1", "\xff\xfe").ok());
 }
