batch: Give up what runs on an executor that its agent doesn't reach

What ran there never ran again, and new work that was placed there never began.

Cause: the leader judged a host by its agent's last call alone, and granted the executor's lease with each call, whether the executor answered the agent or not.

Agents tell whether the executor answered the last call for its runs. If not, the leader grants nothing, places nothing there, and gives the runs up a grant and its margin after it last heard of the executor; by then the lease has run out. The same cause on a related path: a host that is heard of again before the loss of its runs is recorded was granted the lease with orders that still held them. It gets no grant until the new orders are published.

--- a/bench/decisions/simulated_host.cpp
+++ b/bench/decisions/simulated_host.cpp
@@ -33,6 +33,7 @@
     m_call.host = batch::HostId(host.name);
     m_call.agentIncarnation = 1;
     m_call.hasReport = true;
+    m_call.isExecutorReached = true;
     m_call.listToken = token;
     m_call.report.incarnation = {"executor-" + host.name, m_life};
     m_call.report.service = base::ServiceId("ledger");
--- a/src/batch/agent.h
+++ b/src/batch/agent.h
@@ -97,6 +97,7 @@
             log::write(log::Severity::Info,
                        "executor known",
                        {{"instance", m_report->incarnation.instance}, {"born", std::to_string(m_report->incarnation.born)}});
+            m_isExecutorReached = false;
             m_listing.reset();
             m_listToken = {};
             m_clockAt = {};
@@ -205,6 +206,7 @@
         if (m_report) {
             call.report = *m_report;
         }
+        call.isExecutorReached = m_isExecutorReached;
         call.ordersToken = m_ordersToken;
         call.ordersVersion = m_orders.version;
         call.entriesVersion = m_entriesVersion;
@@ -532,7 +534,8 @@
                 co_await m_ordersChanged.waitUntil(runtime::Clock::now() + CallWait);
                 continue;
             }
-            const std::chrono::milliseconds wait = m_listToken == m_token ? HoldWait : std::chrono::milliseconds(0);
+            const bool mayWait = m_listToken == m_token && m_isExecutorReached;
+            const std::chrono::milliseconds wait = mayWait ? HoldWait : std::chrono::milliseconds(0);
             const auto begin = runtime::Clock::now();
             const bool isRenewed = co_await callHold(wait);
             // The executor doesn't hold the call while it has ended runs that aren't acknowledged yet.
@@ -557,13 +560,16 @@
             request.until = executorNow() + remaining;
         }
         const std::uint64_t sequence = ++m_holdsSent;
-        const auto listing = co_await m_port.hold(request, runtime::Clock::now() + HoldTimeout + wait);
+        const auto sentAt = runtime::Clock::now();
+        const auto listing = co_await m_port.hold(request, sentAt + HoldTimeout + wait);
         if (!listing.ok()) {
             m_holdFailures.add();
-            if (m_isExecutorReached) {
+            // A call that began before another one was answered says nothing about the executor as it is now.
+            const bool isNews = m_executorAnsweredAt < sentAt && isCurrentIncarnation(incarnation);
+            if (isNews && std::exchange(m_isExecutorReached, false)) {
                 log::write(log::Severity::Warning, "executor not reached", {{"reason", std::string(listing.status().message())}});
+                markChanged();
             }
-            m_isExecutorReached = false;
             co_return false;
         }
         if (!isCurrentIncarnation(incarnation)) {
@@ -573,10 +579,11 @@
             handleUnannouncedRestart(*listing);
             co_return false;
         }
-        if (!m_isExecutorReached) {
+        m_executorAnsweredAt = runtime::Clock::now();
+        if (!std::exchange(m_isExecutorReached, true)) {
             log::write(log::Severity::Info, "executor reached", {{"instance", incarnation.instance}});
+            markChanged();
         }
-        m_isExecutorReached = true;
         applyListing(*listing, request.token, sequence);
         co_return true;
     }
@@ -603,6 +610,7 @@
                        "executor restarted unannounced",
                        {{"instance", m_report->incarnation.instance}, {"born", std::to_string(listing.born)}});
         }
+        m_isExecutorReached = false;
         m_listing.reset();
         m_listToken = {};
     }
@@ -695,7 +703,10 @@
     bool m_isLeaderReached = false;
     /** Whether a call has failed, so that the first failure is logged even if no leader was reached before. */
     bool m_hasFailed = false;
+    /** The present incarnation answered the last call for its runs. */
     bool m_isExecutorReached = false;
+    /** When it last answered one. */
+    runtime::Instant m_executorAnsweredAt{};
     std::uint64_t m_agentIncarnation = 0;
     std::uint64_t m_sequence = 0;
 
--- a/src/batch/messages.h
+++ b/src/batch/messages.h
@@ -52,7 +52,7 @@
     wire::Address leader;
     base::FencingToken token;
     Orders orders;
-    /** How long the agent may renew the executor's lease, counted from when it sent the call. */
+    /** How long the agent may renew the executor's lease, counted from when it sent the call; zero: no longer than it may already. */
     std::chrono::milliseconds grant{0};
     /** All entries; left out while the agent has the list of this version. */
     std::vector<wire::Address> entries;
@@ -71,6 +71,8 @@
     std::uint64_t sequence = 0;
     bool hasReport = false;
     HostReport report;
+    /** The executor answered the agent's last call for its runs. Otherwise the leader grants nothing: the agent alone doesn't keep runs alive. */
+    bool isExecutorReached = false;
     /** Fencing token of the host's last listing; the executor rejects lower ones. */
     base::FencingToken listToken;
     base::FencingToken ordersToken;
@@ -95,6 +97,7 @@
                        sequence,
                        hasReport,
                        report,
+                       isExecutorReached,
                        listToken,
                        ordersToken,
                        ordersVersion,
--- a/src/batch/scheduler.h
+++ b/src/batch/scheduler.h
@@ -219,8 +219,10 @@
         reply.leader = m_settings.rpc;
         reply.token = term.token;
         addEntries(reply, call);
-        const auto remaining = term.leaseUntil + m_maxGrant - runtime::Clock::now();
-        reply.grant = std::clamp(std::chrono::duration_cast<std::chrono::milliseconds>(remaining), std::chrono::milliseconds(0), m_maxGrant);
+        if (term.workload.mayRenewLease(call)) {
+            const auto remaining = term.leaseUntil + m_maxGrant - runtime::Clock::now();
+            reply.grant = std::clamp(std::chrono::duration_cast<std::chrono::milliseconds>(remaining), std::chrono::milliseconds(0), m_maxGrant);
+        }
         const auto orders = term.orders.find(call.host);
         if (orders == term.orders.end()) {
             return reply;
--- a/src/batch/term.h
+++ b/src/batch/term.h
@@ -100,6 +100,7 @@
             Orders &current = orders[host];
             next.version = current.version + 1;
             current = std::move(next);
+            workload.confirmPublished(host);
             published(host).notify();
         }
     }
--- a/src/batch/workload.cpp
+++ b/src/batch/workload.cpp
@@ -410,6 +410,17 @@
     }
 }
 
+void Workload::confirmPublished(const HostId &id)
+{
+    hostFor(id).hasUnpublishedLosses = false;
+}
+
+bool Workload::mayRenewLease(const SyncCall &call) const
+{
+    const auto host = m_hosts.find(call.host);
+    return call.isExecutorReached && (host == m_hosts.end() || !host->second.hasUnpublishedLosses);
+}
+
 Orders Workload::ordersFor(const Host &host) const
 {
     Orders orders;
@@ -488,7 +499,7 @@
 
 bool Workload::isReachable(const Host &host, Instant now) const
 {
-    return host.hasReport && host.isListed && now - host.lastHeardAt <= ContactTimeout;
+    return host.hasReport && host.isListed && host.isExecutorReached && now - host.executorHeardAt <= ContactTimeout;
 }
 
 } // namespace plantainfork::batch
--- a/src/batch/workload.h
+++ b/src/batch/workload.h
@@ -181,7 +181,13 @@
     bool hasReport = false;
     /** The host has listed its runs under this leader's fencing token. */
     bool isListed = false;
+    /** When its agent last called. */
     Instant lastHeardAt;
+    /** When its agent last called and had an answer of the executor. No grant is given otherwise, so the executor's lease ends a grant later at most. */
+    Instant executorHeardAt;
+    bool isExecutorReached = false;
+    /** Its runs were given up, and the orders without them aren't published yet. */
+    bool hasUnpublishedLosses = false;
     /** When its executor announced that it leaves; Instant() if it hasn't. */
     Instant leftAt;
     /** A draining host doesn't leave before this time. */
@@ -252,7 +258,7 @@
 
     /** Applies an agent's sync call. */
     SyncEffect applySync(const SyncCall &call, Instant now, WallTime wallNow);
-    /** Marks runs as lost on hosts that have left, and on hosts whose agents have been silent for longer than a grant plus its margin. */
+    /** Marks runs as lost on hosts that have left, and on hosts whose executors haven't been heard of for longer than a grant plus its margin. */
     void expireSilentHosts(Instant now, WallTime wallNow);
 
     /** Places a unit as a new attempt. The job's state must be recorded before the order is sent to any host. */
@@ -264,12 +270,19 @@
 
     /** Hosts whose orders may differ from those at the previous call. */
     [[nodiscard]] std::set<HostId> takeChangedHosts();
+    /** Notes that the agent of the host can have the orders of the last takeChangedHosts(). */
+    void confirmPublished(const HostId &id);
+    /**
+     * Whether the host's agent may go on renewing the executor's lease, according to a call that was applied. After a long silence it may not
+     * until it can have orders without the runs that were given up: with older ones it would start them beside their next attempts.
+     */
+    [[nodiscard]] bool mayRenewLease(const SyncCall &call) const;
     /** The complete orders for a host: what it should run and what it should stop. */
     [[nodiscard]] Orders ordersFor(const Host &host) const;
     [[nodiscard]] JobState recordOf(const Job &job) const;
     /** Time since the last call of the reachable host that has been silent for longest. */
     [[nodiscard]] Duration oldestReportAge(Instant now) const;
-    /** Whether the host may be given work: it has listed its runs, and its agent has called recently. */
+    /** Whether the host may be given work: it has listed its runs, and its agent has called recently and reaches the executor. */
     [[nodiscard]] bool isReachable(const Host &host, Instant now) const;
 
     [[nodiscard]] std::map<base::JobId, Job> &jobs()
@@ -304,11 +317,12 @@
     [[nodiscard]] std::vector<JobTiming> takeTimings();
     void log(std::string name, std::vector<std::pair<std::string, std::string>> fields);
 
-    /** A host whose agent has been silent for longer gets no new work: two long-polling sync calls plus network delay. */
+    /** A host that has been silent for longer gets no new work: two long-polling sync calls plus network delay. */
     static constexpr std::chrono::milliseconds ContactTimeout{2600};
 
 private:
     /** The functions that apply a part of a sync call return whether it changed more than progress. */
+    void noteExecutorContact(Host &host, bool isExecutorReached, Instant now);
     bool applyReport(Host &host, const SyncCall &call, Instant now, WallTime wallNow);
     bool applyRunningRuns(Host &host, const SyncCall &call, Instant now);
     bool applyEndedRuns(Host &host, const SyncCall &call, Instant now, WallTime wallNow);
--- a/src/batch/workload_reports.cpp
+++ b/src/batch/workload_reports.cpp
@@ -22,11 +22,13 @@
     if (isOutdated) {
         return SyncEffect::Outdated;
     }
-    // A host that was out of contact offers its resources again.
-    bool isChanged = !isReachable(host, now);
+    const bool wasReachable = isReachable(host, now);
     host.agentIncarnation = call.agentIncarnation;
     host.sequence = call.sequence;
     host.lastHeardAt = now;
+    noteExecutorContact(host, call.isExecutorReached, now);
+    // A host that was out of contact offers its resources again, and one that is now out of contact no longer does.
+    bool isChanged = !wasReachable || !isReachable(host, now);
     if (!call.hasReport) {
         return SyncEffect::Progress;
     }
@@ -45,6 +47,21 @@
     return isChanged ? SyncEffect::Changed : SyncEffect::Progress;
 }
 
+void Workload::noteExecutorContact(Host &host, bool isExecutorReached, Instant now)
+{
+    if (host.isExecutorReached && !isExecutorReached) {
+        const auto since = host.executorHeardAt == Instant() ? Duration() : now - host.executorHeardAt;
+        log("executor not reached by its agent",
+            {{"host", host.id.value()},
+             {"runs", std::to_string(host.units.size())},
+             {"heard_ms", std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(since).count())}});
+    }
+    host.isExecutorReached = isExecutorReached;
+    if (isExecutorReached) {
+        host.executorHeardAt = now;
+    }
+}
+
 bool Workload::applyReport(Host &host, const SyncCall &call, Instant now, WallTime wallNow)
 {
     const bool isNew = !host.hasReport || host.report.incarnation != call.report.incarnation;
@@ -293,7 +310,7 @@
     const auto limit = m_bounds.maxGrant + m_bounds.grantMargin;
     for (auto &entry : m_hosts) {
         Host &host = entry.second;
-        const bool isSilent = now - std::max(host.lastHeardAt, m_termStart) > limit;
+        const bool isSilent = now - std::max(host.executorHeardAt, m_termStart) > limit;
         const bool hasLeft = host.report.hasLeft && now - host.leftAt > m_bounds.departureMargin;
         if (!isSilent && !hasLeft) {
             continue;
@@ -304,8 +321,9 @@
             });
         });
         if (hasExpiredRuns) {
-            markMembersLost(host, now, wallNow, "host left, or silent for longer than its grant");
+            markMembersLost(host, now, wallNow, hasLeft ? "host left" : "executor not heard of for longer than a grant");
             host.isListed = false;
+            host.hasUnpublishedLosses = true;
         }
     }
 }
--- a/tests/batch/scheduler_test.cpp
+++ b/tests/batch/scheduler_test.cpp
@@ -77,6 +77,7 @@
         call.report.incarnation = {"i-1", 1};
         call.report.service = base::ServiceId("ledger");
         call.report.capacity = {64'000, 256'000, 8};
+        call.isExecutorReached = true;
         call.listToken = token;
         return call;
     }
@@ -271,3 +272,20 @@
     entry.store.setDelay(0ms);
     fixture.stop();
 }
+
+// Guards against an executor's lease that is kept up for a leader that has given its runs up.
+TEST_CASE("An agent that doesn't reach its executor is granted nothing")
+{
+    Fixture fixture;
+    auto &entry = fixture.addEntry("e1");
+    fixture.syncUntil(entry, [](const batch::SyncReply &received) {
+        return received.isLeader && received.grant > 0ms;
+    });
+    batch::SyncCall call = fixture.call();
+    call.isExecutorReached = false;
+    const auto reply = tests::runOn(fixture.context, entry.scheduler->sync(call));
+    REQUIRE(reply.ok());
+    REQUIRE(reply->isLeader);
+    REQUIRE(reply->grant == 0ms);
+    fixture.stop();
+}
--- a/tests/batch/workload_fixture.h
+++ b/tests/batch/workload_fixture.h
@@ -55,6 +55,7 @@
         call.host = batch::HostId(name);
         call.agentIncarnation = 1;
         call.hasReport = true;
+        call.isExecutorReached = true;
         call.report.incarnation = {"i-" + name, 1};
         call.report.service = base::ServiceId("ledger");
         call.report.dataCentre = base::DataCentreId(dataCentre);
