batch: Read a job that may be recorded before rejecting its submission

The entry's write had been carried out without an answer, and the caller's key was removed before the entry tried again.

Cause: submit() checks a request against the present policy before each try, and answered a removed key or queue at once, without regard to its own writes.

Where the policy no longer allows the request, its writes, which required an earlier policy, can't be carried out any more, so a read shows for good whether the job is recorded. If this request recorded it, it is accepted; if an earlier one may have, or nothing can be read, the answer is unclear.

Cancellations had the same fault and are unclear in that case. They also took their write's condition from a later policy than the one that allowed them.

--- a/src/batch/job_request_handler.h
+++ b/src/batch/job_request_handler.h
@@ -95,16 +95,30 @@
     asio::awaitable<Answer> submit(Caller caller, base::JobId id, Submission submission)
     {
         std::string reason = "too little time left";
+        // This request itself may have recorded the job.
+        bool hasWritten = false;
         const auto settleUntil = std::min<runtime::Instant>(runtime::Clock::now() + SettleTime, caller.deadline - ReplyMargin);
         while (hasTime(caller)) {
             if (m_recent.mayBeRecorded(id, runtime::Clock::now())) {
                 co_await waitForConfirmation(settleUntil);
             }
             if (auto refusal = checkCaller(caller, id.value())) {
-                if (refusal->kind != AnswerKind::Refused || !m_recent.mayBeRecorded(id, runtime::Clock::now())) {
+                if (!m_recent.mayBeRecorded(id, runtime::Clock::now())) {
                     co_return *refusal;
                 }
                 reason = refusal->reason;
+                std::optional<bool> isRecorded;
+                if (refusal->kind != AnswerKind::Refused) {
+                    isRecorded = co_await findRecord(caller, id);
+                }
+                if (isRecorded && !*isRecorded) {
+                    co_return *refusal;
+                }
+                if (isRecorded && hasWritten) {
+                    // The write was allowed by the policy that was in force then.
+                    logRequest("job accepted", id, caller, 0, "recorded before: " + reason);
+                    co_return Answer{AnswerKind::Accepted, {}, 0, {}, ""};
+                }
                 break;
             }
             const auto policy = m_policy.policy();
@@ -119,6 +133,7 @@
             if (result.outcome == store::WriteOutcome::NotSent) {
                 m_recent.endUnsent(id);
             } else {
+                hasWritten = true;
                 // Also after a conflict: what it met may be the job, recorded by an earlier try, here or at another entry, or by this very
                 // write, which a relayed store sends twice.
                 m_recent.end(id, guard.expected, runtime::Clock::now());
@@ -183,12 +198,14 @@
         bool mayBeApplied = false;
         while (hasTime(caller)) {
             if (auto refusal = checkCaller(caller, id.value())) {
-                if (refusal->kind != AnswerKind::Refused || !mayBeApplied) {
+                if (!mayBeApplied) {
                     co_return *refusal;
                 }
                 reason = refusal->reason;
                 break;
             }
+            // The write must require the policy that has just allowed it, not a newer one.
+            const store::Write guard = m_policy.guard();
             const auto found = co_await lookUp(id, caller);
             if (!found.ok()) {
                 reason = std::string(found.status().message());
@@ -202,7 +219,7 @@
             if (isEnded(current.status)) {
                 co_return Answer{AnswerKind::Cancelled, current.status, 0, {}, ""};
             }
-            const auto result = co_await writeIf(m_policy.guard(), keys::job(id, keys::JobPart::Cancel), "", caller);
+            const auto result = co_await writeIf(guard, keys::job(id, keys::JobPart::Cancel), "", caller);
             if (result.outcome == store::WriteOutcome::Applied) {
                 logRequest("job cancelled", id, caller, m_policy.policy()->version, "written");
                 co_return Answer{AnswerKind::Cancelled, JobStatus::Cancelled, 0, {}, ""};
@@ -313,6 +330,27 @@
         return std::nullopt;
     }
 
+    /**
+     * Whether a job is recorded for which this entry has sent a write. To be called when the policy no longer allows it: the writes required
+     * an earlier one, so they can't be carried out any more. Nothing if the store can't be read in time, or another request is writing.
+     */
+    asio::awaitable<std::optional<bool>> findRecord(Caller caller, base::JobId id)
+    {
+        const store::Index guard = m_policy.guard().expected;
+        while (hasTime(caller)) {
+            const auto known = co_await m_store.readPrefix(keys::jobPrefix(id), readLimitsFor(caller));
+            if (known.ok() && !known->entries.empty()) {
+                co_return true;
+            }
+            if (known.ok()) {
+                m_recent.ruleOutBefore(id, guard);
+                co_return m_recent.mayBeRecorded(id, runtime::Clock::now()) ? std::nullopt : std::optional(false);
+            }
+            co_await runtime::sleepFor(RetryDelay);
+        }
+        co_return std::nullopt;
+    }
+
     static std::string encodeSpec(const Caller &caller, const base::JobId &id, const Queue &queue, const Policy &policy, const Submission &submission)
     {
         JobSpec spec;
--- a/src/batch/recent_submissions.h
+++ b/src/batch/recent_submissions.h
@@ -58,6 +58,14 @@
             forgetIfIdle(mark);
         }
     }
+    /** The same when the policy's revision is `present` or a later one. */
+    void ruleOutBefore(const base::JobId &job, store::Index present)
+    {
+        const auto mark = m_marks.find(job);
+        if (mark != m_marks.end() && mark->second.guard < present) {
+            ruleOut(job, mark->second.guard);
+        }
+    }
 
     /** Whether a write of the job that has ended may have recorded it, or one is under way. */
     [[nodiscard]] bool mayBeRecorded(const base::JobId &job, runtime::Instant now) const
--- a/tests/batch/refused_though_recorded_test.cpp
+++ b/tests/batch/refused_though_recorded_test.cpp
@@ -1,11 +1,12 @@
 /**
- * A caller was told that its job never runs (503), and the job ran: an entry's write of it had been carried out without an answer, the same
- * write through a peer met it as a conflict, and then neither could be read.
+ * Callers were told that their jobs never run (503, 401 or 404), and the jobs ran: an entry's write had been carried out without an answer.
+ * Then the same write through a peer met the job as a conflict, and neither could be read; or the policy no longer allowed the request.
  */
-#include <catch2/catch.hpp>
+#include <functional>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <catch2/catch.hpp>
 
 #include "batch/job_request_handler.h"
 #include "batch/recent_submissions.h"
@@ -47,6 +48,9 @@
 
     boost::asio::awaitable<absl::StatusOr<batch::RelayReply>> serve(batch::RelayCall call)
     {
+        if (const auto action = std::exchange(onPeerAsked, nullptr)) {
+            action();
+        }
         auto reply = co_await batch::serveRelay(peer, std::move(call));
         ++callsServed;
         if (callsServed == peerCalls) {
@@ -55,16 +59,17 @@
         co_return reply;
     }
 
-    /** Puts a policy with one queue in force; `guard` is its condition in the store. */
-    void setPolicy(store::Write guard)
+    /** Puts a policy with one queue in force, for callers with the key, or for all if it is empty; `guard` is its condition in the store. */
+    void setPolicy(store::Write guard, const std::string &key = "", const std::string &prefix = "/q/")
     {
         auto next = std::make_shared<batch::Policy>();
         next->version = 1;
         batch::Queue queue;
         queue.id = batch::QueueId("q");
         queue.host = "h.example";
-        queue.prefix = "/q/";
-        queue.isPublic = true;
+        queue.prefix = prefix;
+        queue.isPublic = key.empty();
+        next->keys[key] = base::WorkspaceId("atlas");
         next->queues[queue.id] = queue;
         policy.set(next, std::move(guard));
         policy.confirm(runtime::Clock::now());
@@ -77,17 +82,17 @@
         peer.setDown(true);
     }
 
-    batch::Answer submit(const std::string &id, std::chrono::milliseconds patience = 900ms)
+    batch::Answer submit(const std::string &id, std::chrono::milliseconds patience = 900ms, const std::string &key = "")
     {
         batch::Submission submission;
         submission.payload = "text";
         submission.steps.emplace_back();
-        return tests::runOn(context, handler.submit({"h.example", "/q/" + id, "", runtime::Clock::now() + patience}, base::JobId(id), submission));
+        return tests::runOn(context, handler.submit({"h.example", "/q/" + id, key, runtime::Clock::now() + patience}, base::JobId(id), submission));
     }
 
-    batch::Answer cancel(const std::string &id, std::chrono::milliseconds patience)
+    batch::Answer cancel(const std::string &id, std::chrono::milliseconds patience, const std::string &key = "")
     {
-        return tests::runOn(context, handler.cancel({"h.example", "/q/" + id, "", runtime::Clock::now() + patience}, base::JobId(id)));
+        return tests::runOn(context, handler.cancel({"h.example", "/q/" + id, key, runtime::Clock::now() + patience}, base::JobId(id)));
     }
 
     static constexpr std::chrono::milliseconds ConfirmationLifetime{4300};
@@ -104,14 +109,17 @@
     /** After this many calls the peer is cut off from the store. */
     int peerCalls = 0;
     int callsServed = 0;
+    /** Called once, when the peer is asked first. */
+    std::function<void()> onPeerAsked;
 };
 
 /** Writes a policy to the store and returns the condition that it is still in force. */
-store::Write storePolicy(tests::MemoryData &data)
+store::Write storePolicy(tests::MemoryData &data, store::Index earlier = {})
 {
     store::Write write;
     write.key = "policy";
     write.value = "1";
+    write.expected = earlier;
     store::Write guard;
     guard.kind = store::Write::Kind::Check;
     guard.key = write.key;
@@ -233,6 +241,78 @@
     REQUIRE_FALSE(site.data->read(batch::keys::job(base::JobId("a"), batch::keys::JobPart::Cancel), false).entries.empty());
 }
 
+// Guards against a job that runs although its only submission was rejected: the write had no answer, and then the policy changed.
+TEST_CASE("A submission that may have recorded its job isn't rejected because its key or queue has been removed meanwhile")
+{
+    Site site;
+    Entry &entry = site.entry;
+    const store::Write first = storePolicy(*site.data, entry.policy.guard().expected);
+    entry.setPolicy(first, "key");
+    const bool isKeyRemoved = GENERATE(true, false);
+    const auto changePolicy = [&] {
+        entry.setPolicy(storePolicy(*site.data, first.expected), isKeyRemoved ? "other" : "key", isKeyRemoved ? "/q/" : "/other/");
+    };
+    const auto isRejection = [](batch::AnswerKind kind) {
+        return kind == batch::AnswerKind::UnknownKey || kind == batch::AnswerKind::NoSuchQueue;
+    };
+
+    entry.direct.loseAnswers(1);
+    entry.peer.setDown(true);
+    SECTION("and is accepted if the store shows the job")
+    {
+        entry.onPeerAsked = changePolicy;
+        REQUIRE(entry.submit("a", 3s, "key").kind == batch::AnswerKind::Accepted);
+        REQUIRE(isRecorded(*site.data, "a"));
+        // A repeat recorded nothing itself, and isn't told that there is no such job.
+        REQUIRE(entry.submit("a", 900ms, "key").kind == batch::AnswerKind::Unclear);
+        // Other jobs are rejected at once.
+        REQUIRE(isRejection(entry.submit("b", 900ms, "key").kind));
+    }
+    SECTION("and is unclear if the store can't be read")
+    {
+        entry.onPeerAsked = [&] {
+            changePolicy();
+            entry.cutOff();
+        };
+        REQUIRE(entry.submit("a", 1500ms, "key").kind == batch::AnswerKind::Unclear);
+        REQUIRE(isRecorded(*site.data, "a"));
+    }
+}
+
+TEST_CASE("A submission whose write can't be carried out any more is rejected once the store has shown that")
+{
+    Site site;
+    Entry &entry = site.entry;
+    const store::Write first = storePolicy(*site.data, entry.policy.guard().expected);
+    entry.setPolicy(first, "key");
+    // The operator has changed the policy already, so the write meets a conflict; its answer is lost.
+    const store::Write second = storePolicy(*site.data, first.expected);
+    entry.direct.loseAnswers(1);
+    entry.peer.setDown(true);
+    entry.onPeerAsked = [&] {
+        entry.setPolicy(second, "other");
+    };
+    REQUIRE(entry.submit("a", 3s, "key").kind == batch::AnswerKind::UnknownKey);
+    REQUIRE_FALSE(isRecorded(*site.data, "a"));
+}
+
+// Guards against a cancellation that is carried out although its caller was told that the key isn't known.
+TEST_CASE("A cancellation that may be recorded isn't rejected because its key has been removed meanwhile")
+{
+    Site site;
+    Entry &entry = site.entry;
+    const store::Write first = storePolicy(*site.data, entry.policy.guard().expected);
+    entry.setPolicy(first, "key");
+    REQUIRE(entry.submit("a", 900ms, "key").kind == batch::AnswerKind::Accepted);
+    entry.direct.loseAnswers(1);
+    entry.peer.setDown(true);
+    entry.onPeerAsked = [&] {
+        entry.setPolicy(storePolicy(*site.data, first.expected), "other");
+    };
+    REQUIRE(entry.cancel("a", 2s, "key").kind == batch::AnswerKind::Unclear);
+    REQUIRE_FALSE(site.data->read(batch::keys::job(base::JobId("a"), batch::keys::JobPart::Cancel), false).entries.empty());
+}
+
 TEST_CASE("A job that certainly isn't recorded is refused at once while others may be")
 {
     Site site;
