store: Tell each changed key once, as it is after the last change

Cause: the client split the events of a watch into written and removed keys, and the policy feed applied the removals first. A key that was written and then removed counted as present.

--- a/src/store/key_value.h
+++ b/src/store/key_value.h
@@ -45,11 +45,13 @@
     MSGPACK_DEFINE(index, entries);
 };
 
-/** What has changed under a prefix since an index, in order. */
+/** What has become of the keys under a prefix that have changed since an index: each is in one of the two lists. */
 struct Changes {
     /** Where the next call continues. */
     Index index;
+    /** Keys that exist, as they were written last. */
     std::vector<KeyValue> written;
+    /** Keys that don't exist any more. */
     std::vector<std::string> removed;
 
     MSGPACK_DEFINE(index, written, removed);
--- a/tests/platform/policy_feed_test.cpp
+++ b/tests/platform/policy_feed_test.cpp
@@ -159,3 +159,40 @@
     const auto answer = tests::runOn(entry.context, handler.status(caller, spec.id));
     REQUIRE(answer.kind == batch::AnswerKind::State);
 }
+
+// Guards against a data centre that stays out: its removal and return within one answer of a slow store were applied in the wrong order.
+TEST_CASE("A data centre that is taken out and back within one answer of the store is in service")
+{
+    PolicyOverSlowLine entry(100'000'000);
+    const base::DataCentreId pens("pens");
+    entry.configure(1, 100);
+    entry.feed->start();
+    REQUIRE(entry.runUntilInForce(1, 10s));
+    // Nothing runs between the operator's writes, so one answer of the watch brings them all.
+    SECTION("once")
+    {
+        entry.store.put("op/evacuate/pens", "{}");
+        entry.store.erase("op/evacuate/pens");
+    }
+    SECTION("several times")
+    {
+        for (int i = 0; i < 3; ++i) {
+            entry.store.put("op/evacuate/pens", "{}");
+            entry.store.erase("op/evacuate/pens");
+        }
+    }
+    entry.configure(2, 100);
+    REQUIRE(entry.runUntilInForce(2, 10s));
+    REQUIRE_FALSE(entry.holder.evacuated().contains(pens));
+
+    // The other way round it stays out.
+    entry.store.put("op/evacuate/pens", "{}");
+    entry.configure(3, 100);
+    REQUIRE(entry.runUntilInForce(3, 10s));
+    REQUIRE(entry.holder.evacuated().contains(pens));
+    entry.store.erase("op/evacuate/pens");
+    entry.store.put("op/evacuate/pens", "{}");
+    entry.configure(4, 100);
+    REQUIRE(entry.runUntilInForce(4, 10s));
+    REQUIRE(entry.holder.evacuated().contains(pens));
+}
--- a/tests/platform/soak/store.cpp
+++ b/tests/platform/soak/store.cpp
@@ -84,6 +84,13 @@
     m_changed.notify();
 }
 
+void Store::erase(const std::string &key)
+{
+    ++m_revision;
+    remove(key);
+    m_changed.notify();
+}
+
 asio::awaitable<http::Response> Store::answer(http::Request request)
 {
     if (m_delay.count() > 0) {
--- a/tests/platform/soak/store.h
+++ b/tests/platform/soak/store.h
@@ -41,8 +41,9 @@
     /** Ends leases that weren't renewed; runs forever. Leases pause while the store doesn't serve. */
     asio::awaitable<void> expireLeases();
 
-    /** A write of the operator's, which no trouble reaches. */
+    /** A write or a removal of the operator's, which no trouble reaches. */
     void put(const std::string &key, const std::string &value);
+    void erase(const std::string &key);
 
     void setMode(StoreMode mode);
     void setDelay(std::chrono::milliseconds delay);
--- a/tests/platform/store_client_test.cpp
+++ b/tests/platform/store_client_test.cpp
@@ -33,3 +33,31 @@
     tests::runOn(line.context, runtime::sleepFor(1500ms));
     REQUIRE(answeredInTime == OwnWatches + OtherEntries);
 }
+
+TEST_CASE("Each key is told once in the answer of a watch, as it is after the last change")
+{
+    tests::SlowLine line(100'000'000);
+    line.store.put("op/first", "0");
+    store::Index index;
+    store::Changes changes;
+    const auto read = [&]() -> boost::asio::awaitable<void> {
+        const auto all = co_await line.client.readPrefix("op/", runtime::Clock::now() + 5s);
+        index = all.value().index;
+    };
+    const auto follow = [&]() -> boost::asio::awaitable<void> {
+        changes = (co_await line.client.followPrefix("op/", index, 1000ms)).value();
+    };
+    tests::runOn(line.context, read());
+    line.store.put("op/gone", "1");
+    line.store.put("op/back", "1");
+    line.store.erase("op/back");
+    line.store.put("op/back", "2");
+    line.store.erase("op/gone");
+    line.store.put("op/another", "1");
+    tests::runOn(line.context, follow());
+    REQUIRE(changes.removed == std::vector<std::string>{"op/gone"});
+    REQUIRE(changes.written.size() == 2);
+    REQUIRE(changes.written[0].key == "op/back");
+    REQUIRE(changes.written[0].value == "2");
+    REQUIRE(changes.written[1].key == "op/another");
+}
--- a/tests/support/memory_store.h
+++ b/tests/support/memory_store.h
@@ -62,7 +62,7 @@
         }
         const std::scoped_lock lock(m_mutex);
         for (const auto &[index, key] : m_removed) {
-            if (index > after && key.starts_with(prefix)) {
+            if (index > after && key.starts_with(prefix) && !m_entries.contains(key)) {
                 changes.removed.push_back(key);
             }
         }
