platform: Refuse numbers that don't fit their fields

But numbers were converted without a check: a job of 4,294,967,297 tasks was accepted as one of one task, a capacity of 1e300 became an arbitrary one, and a heartbeat without its room counted as one of a host without any. A list in place of a step counted as a step of defaults.

A job whose occurrences reach beyond what the clock can hold is invalid.

--- a/src/batch/job_request_handler.cpp
+++ b/src/batch/job_request_handler.cpp
@@ -7,8 +7,19 @@
 namespace plantainfork::batch
 {
 
+namespace
+{
+
+/** Times far beyond this don't fit the clock. */
+constexpr std::chrono::milliseconds LongestSeries = std::chrono::hours(24 * 365 * 100);
+
+} // namespace
+
 std::string findSubmissionError(const Submission &submission)
 {
+    if (submission.occurrences > 0 && submission.period > LongestSeries / submission.occurrences) {
+        return "the occurrences take more than a hundred years";
+    }
     return findStepsError(submission.steps, submission.occurrences);
 }
 
--- a/tests/batch/job_request_handler_test.cpp
+++ b/tests/batch/job_request_handler_test.cpp
@@ -161,3 +161,14 @@
     submission.steps[1].tasks = 0;
     REQUIRE_FALSE(batch::findSubmissionError(submission).empty());
 }
+
+TEST_CASE("A job whose occurrences reach beyond the clock is invalid")
+{
+    batch::Submission submission;
+    submission.steps.emplace_back();
+    submission.occurrences = 100;
+    submission.period = std::chrono::hours(24 * 365);
+    REQUIRE(batch::findSubmissionError(submission).empty());
+    submission.occurrences = 101;
+    REQUIRE_FALSE(batch::findSubmissionError(submission).empty());
+}
--- a/tests/platform/json_test.cpp
+++ b/tests/platform/json_test.cpp
@@ -52,7 +52,8 @@
 
 TEST_CASE("An announcement of another writer names no executor to use")
 {
-    const std::string valid = R"({"Service":"s","Addr":"10.0.0.1:8080","Zone":"z","State":"ready","Capacity":{"Cpu":1,"MemMb":2,"Gpu":3},"Labels":["a","r1-3"],"Seq":4,"born":5})";
+    const std::string valid =
+        R"({"Service":"s","Addr":"10.0.0.1:8080","Zone":"z","State":"ready","Capacity":{"Cpu":1,"MemMb":2,"Gpu":3},"Labels":["a","r1-3"],"Seq":4,"born":5})";
     const auto announcement = platform::decodeAnnouncement("i-1", valid);
     REQUIRE(announcement.ok());
     REQUIRE(announcement->report.capacity == batch::Resources{1, 2, 3});
@@ -62,6 +63,109 @@
     REQUIRE_FALSE(platform::decodeAnnouncement("i-1", "\xff\xfe").ok());
 }
 
+// Guards against numbers that were narrowed, or taken for 0: room that a host doesn't have, and reports that shut out all later ones.
+TEST_CASE("An announcement with an odd value is refused as a whole")
+{
+    const auto valid = nlohmann::json::parse(
+        R"({"Service":"s","Addr":"10.0.0.1:8080","Zone":"z","State":"draining","Capacity":{"Cpu":1,"MemMb":2,"Gpu":3},"Labels":["a"],"RemainingMs":9,"Seq":4,"born":5})");
+    const auto isTaken = [](const nlohmann::json &json) {
+        return platform::decodeAnnouncement("i-1", json.dump()).ok();
+    };
+    REQUIRE(isTaken(valid));
+    for (const char *name : {"Service", "Addr", "Zone", "State", "Capacity", "Labels", "Seq"}) {
+        INFO(name);
+        auto json = valid;
+        json.erase(name);
+        REQUIRE_FALSE(isTaken(json));
+    }
+    for (const auto &[name, value] : valid.items()) {
+        for (const auto &odd : {nlohmann::json(1e300), nlohmann::json(-1), nlohmann::json(1.5), nlohmann::json::object(), nlohmann::json({7})}) {
+            INFO(name << " " << odd.dump());
+            auto json = valid;
+            json[name] = odd;
+            REQUIRE_FALSE(isTaken(json));
+        }
+    }
+    for (const char *name : {"Cpu", "MemMb", "Gpu"}) {
+        for (const auto &odd : {nlohmann::json(1e300), nlohmann::json(-1), nlohmann::json(std::uint64_t{1} << 63), nlohmann::json("8"), nlohmann::json()}) {
+            INFO(name << " " << odd.dump());
+            auto json = valid;
+            json["Capacity"][name] = odd;
+            REQUIRE_FALSE(isTaken(json));
+        }
+    }
+    for (const char *address : {"10.0.0.1:65536", "10.0.0.1:99999999999999999999", "10.0.0.1:0", "10.0.0.1:-1", "10.0.0.1", "host:80", ""}) {
+        INFO(address);
+        auto json = valid;
+        json["Addr"] = address;
+        REQUIRE_FALSE(isTaken(json));
+    }
+    const std::string tooLarge =
+        R"({"Service":"s","Addr":"10.0.0.1:8080","Zone":"z","State":"ready","Capacity":{"Cpu":1,"MemMb":2,"Gpu":3},"Labels":["a"],"Seq":1)"
+        + std::string(400, '0') + "}";
+    REQUIRE_FALSE(platform::decodeAnnouncement("i-1", tooLarge).ok());
+}
+
+TEST_CASE("A text of a megabyte of nested lists or objects ends nothing")
+{
+    constexpr std::size_t Depth = 500'000;
+    const std::string lists = std::string(Depth, '[') + std::string(Depth, ']');
+    std::string objects;
+    for (std::size_t i = 0; i < Depth / 5; ++i) {
+        objects += R"({"a":)";
+    }
+    for (const auto &nested : {lists, objects + "1" + std::string(Depth / 5, '}'), std::string(2 * Depth, '['), objects}) {
+        REQUIRE_FALSE(platform::decodeAnnouncement("i-1", nested).ok());
+        REQUIRE_FALSE(platform::decodeAnnouncement("i-1", R"({"Service":"s","Labels":)" + nested + "}").ok());
+        REQUIRE_FALSE(platform::decodeSubmission(R"({"Spec":"x","Steps":)" + nested + "}").ok());
+        REQUIRE_FALSE(platform::decodeListing(R"({"ClockMs":1,"Running":)" + nested + "}").ok());
+        REQUIRE_FALSE(platform::decodePolicy(nested).ok());
+        REQUIRE_FALSE(platform::decodeReason(nested) == "fence");
+    }
+}
+
+// Guards against a job that is accepted as another one: 4,294,967,297 tasks were taken for one, and a need of 1e300 for none or for any.
+TEST_CASE("A job with a number out of range is refused")
+{
+    const auto isTaken = [](const std::string &field) {
+        return platform::decodeSubmission(R"({"Spec":"x","Steps":[{)" + field + "}]}").ok();
+    };
+    REQUIRE(isTaken(R"("Count":4294967295)"));
+    for (const char *field : {R"("Count":4294967297)",
+                              R"("Count":1e300)",
+                              R"("Count":-1)",
+                              R"("Count":1.5)",
+                              R"("Count":"1")",
+                              R"("Cpu":1e300)",
+                              R"("Cpu":-1)",
+                              R"("MemMb":18446744073709551615)",
+                              R"("Gpu":"8")",
+                              R"("EstimateMs":9223372036854775807)",
+                              R"("After":[4294967296])",
+                              R"("After":[-1])",
+                              R"("AntiAffinity":4294967297)"}) {
+        INFO(field);
+        REQUIRE_FALSE(isTaken(field));
+    }
+    for (const char *field : {R"("RepeatCount":4294967297)", R"("StartAtMs":1e18)", R"("PeriodMs":9223372036854775807)"}) {
+        INFO(field);
+        REQUIRE_FALSE(platform::decodeSubmission(R"({"Spec":"x","Steps":[{}],)" + std::string(field) + "}").ok());
+    }
+}
+
+TEST_CASE("Rows of runs with numbers out of range are left out, and progress stays between 0 and 100")
+{
+    const auto decoded = platform::decodeListing(
+        R"({"ClockMs":1,"Running":[["5c0e7a21d94b36f8.0.1.17",-2,"",1],["5c0e7a21d94b36f8.0.1.17",1e300,"",1],["5c0e7a21d94b36f8.0.1.17",2,"",1e300],)"
+        R"(["5c0e7a21d94b36f8.0.1.17",2,"",-5]],"Finished":[[-1,"5c0e7a21d94b36f8.0.1.9",1,"done",""],[1e300,"5c0e7a21d94b36f8.0.1.9",1,"done",""]]})");
+    REQUIRE(decoded.ok());
+    REQUIRE(decoded->unreadable == 4);
+    REQUIRE(decoded->listing.running.size() == 2);
+    REQUIRE(decoded->listing.running[0].percent == 100);
+    REQUIRE(decoded->listing.running[1].percent == 0);
+    REQUIRE_FALSE(platform::decodeListing(R"({"ClockMs":1e300,"Running":[],"Finished":[]})").ok());
+}
+
 TEST_CASE("Orders carry the run's name, attempt and token")
 {
     const batch::RunId run{{base::JobId("5c0e7a21d94b36f8"), 0, 1, 17}, batch::Attempt(2)};
