batch: Grant nothing for a call that doesn't count

Cause: an agent's process is numbered by the time of day at its start. The leader ignored the calls of the process with the lower number, but answered them with a full grant, so the executor's lease was kept up for a host that the leader took for silent.

A call that isn't applied is granted nothing. Replies tell the newest process that the leader knows, and a process with a lower number takes a higher one and calls at once. On a related path, a leader that is still loading notes the contact with the hosts to which it grants.

--- a/src/batch/agent.h
+++ b/src/batch/agent.h
@@ -312,6 +312,13 @@
         if (!m_isLeaderReached || reply.token != m_token) {
             log::write(log::Severity::Info, "scheduler reached", {{"address", from.host}, {"token", std::to_string(reply.token.value())}});
         }
+        if (reply.agentIncarnation > m_agentIncarnation) {
+            log::write(log::Severity::Warning,
+                       "earlier process of this agent has a later start time",
+                       {{"own", std::to_string(m_agentIncarnation)}, {"known", std::to_string(reply.agentIncarnation)}});
+            m_agentIncarnation = reply.agentIncarnation + 1;
+            markChanged();
+        }
         setLeaderDoubtful(reply.isDoubtful);
         m_isLeaderReached = true;
         m_leader = from;
@@ -707,6 +714,7 @@
     bool m_isExecutorReached = false;
     /** When it last answered one. */
     runtime::Instant m_executorAnsweredAt{};
+    /** The time of the process's start, or higher if the leader knows an earlier process with a later time. */
     std::uint64_t m_agentIncarnation = 0;
     std::uint64_t m_sequence = 0;
 
--- a/src/batch/messages.h
+++ b/src/batch/messages.h
@@ -54,11 +54,16 @@
     Orders orders;
     /** How long the agent may renew the executor's lease, counted from when it sent the call; zero: no longer than it may already. */
     std::chrono::milliseconds grant{0};
+    /**
+     * The newest process of the calling agent that the leader has heard. An agent that finds a higher number than its own has restarted after
+     * its clock was set back: calls under its present number don't count.
+     */
+    std::uint64_t agentIncarnation = 0;
     /** All entries; left out while the agent has the list of this version. */
     std::vector<wire::Address> entries;
     std::uint64_t entriesVersion = 0;
 
-    MSGPACK_DEFINE_MAP(isLeader, isDoubtful, leader, token, orders, grant, entries, entriesVersion);
+    MSGPACK_DEFINE_MAP(isLeader, isDoubtful, leader, token, orders, grant, agentIncarnation, entries, entriesVersion);
 };
 
 struct SyncCall {
@@ -66,7 +71,7 @@
     using Reply = SyncReply;
 
     HostId host;
-    /** Identifies the agent's process, so that the lower sequence numbers of a restarted agent are not taken for old ones. */
+    /** Higher for each process of the agent, so that the lower sequence numbers of a restarted one are not taken for old ones. */
     std::uint64_t agentIncarnation = 0;
     std::uint64_t sequence = 0;
     bool hasReport = false;
--- a/src/batch/scheduler.h
+++ b/src/batch/scheduler.h
@@ -95,15 +95,19 @@
         const auto term = m_term;
         m_syncCalls.add();
         const auto until = runtime::Clock::now() + std::min<std::chrono::milliseconds>(call.wait, SchedulerTiming::MaxSyncHold);
-        bool isApplied = applyIfLoaded(*term, call);
+        bool isApplied = term->isLoaded;
+        const bool isCurrent = receive(*term, call);
         while (!term->isOver && !hasNewerOrders(*term, call) && runtime::Clock::now() < until) {
             co_await term->published(call.host).waitUntil(until);
-            isApplied = isApplied || applyIfLoaded(*term, call);
+            if (!isApplied && term->isLoaded && !term->isOver) {
+                isApplied = true;
+                receive(*term, call);
+            }
         }
         if (term->isOver) {
             co_return redirect(call);
         }
-        co_return reply(*term, call);
+        co_return reply(*term, call, isCurrent);
     }
 
     asio::awaitable<absl::StatusOr<PendingReply>> pending(PendingCall)
@@ -160,16 +164,20 @@
         return m_term && !m_term->isOver;
     }
 
-    /** Applies the report unless the jobs haven't been read yet. Returns whether it has. */
-    bool applyIfLoaded(Term &term, const SyncCall &call)
+    /**
+     * Applies the report. Until the jobs are loaded, only notes the contact, since the grant that goes with the reply must not outlast what the
+     * leader takes for the host's silence. Returns false if the call is older than one that was applied.
+     */
+    bool receive(Term &term, const SyncCall &call)
     {
-        if (!term.isLoaded || term.isOver) {
-            return false;
+        if (!term.isLoaded) {
+            return term.workload.noteContact(call, runtime::Clock::now());
         }
-        if (term.workload.applySync(call, runtime::Clock::now(), wallNow()) == SyncEffect::Changed) {
+        const auto effect = term.workload.applySync(call, runtime::Clock::now(), wallNow());
+        if (effect == SyncEffect::Changed) {
             m_wake.notify();
         }
-        return true;
+        return effect != SyncEffect::Outdated;
     }
 
     void endTerm(const std::string &why)
@@ -211,7 +219,8 @@
         return call.ordersToken != term.token || orders->second.version > call.ordersVersion;
     }
 
-    [[nodiscard]] SyncReply reply(const Term &term, const SyncCall &call) const
+    /** `isCurrent`: the call counts as contact with the host; otherwise nothing is granted. */
+    [[nodiscard]] SyncReply reply(const Term &term, const SyncCall &call, bool isCurrent) const
     {
         SyncReply reply;
         reply.isLeader = true;
@@ -219,7 +228,9 @@
         reply.leader = m_settings.rpc;
         reply.token = term.token;
         addEntries(reply, call);
-        if (term.workload.mayRenewLease(call)) {
+        const auto host = term.workload.hosts().find(call.host);
+        reply.agentIncarnation = host != term.workload.hosts().end() ? host->second.agentIncarnation : 0;
+        if (isCurrent && term.workload.mayRenewLease(call)) {
             const auto remaining = term.leaseUntil + m_maxGrant - runtime::Clock::now();
             reply.grant = std::clamp(std::chrono::duration_cast<std::chrono::milliseconds>(remaining), std::chrono::milliseconds(0), m_maxGrant);
         }
--- a/src/batch/workload.h
+++ b/src/batch/workload.h
@@ -256,6 +256,8 @@
     void cancelJob(const base::JobId &id, WallTime wallNow);
     void forgetJob(const base::JobId &id);
 
+    /** Notes that the host was heard of. Returns false if a newer call of its agent has been applied; then this one doesn't count. */
+    bool noteContact(const SyncCall &call, Instant now);
     /** Applies an agent's sync call. */
     SyncEffect applySync(const SyncCall &call, Instant now, WallTime wallNow);
     /** Marks runs as lost on hosts that have left, and on hosts whose executors haven't been heard of for longer than a grant plus its margin. */
--- a/src/batch/workload_reports.cpp
+++ b/src/batch/workload_reports.cpp
@@ -12,7 +12,7 @@
 namespace plantainfork::batch
 {
 
-SyncEffect Workload::applySync(const SyncCall &call, Instant now, WallTime wallNow)
+bool Workload::noteContact(const SyncCall &call, Instant now)
 {
     Host &host = hostFor(call.host);
     if (host.lastHeardAt == Instant()) {
@@ -20,13 +20,22 @@
     }
     const bool isOutdated = call.agentIncarnation < host.agentIncarnation || (call.agentIncarnation == host.agentIncarnation && call.sequence <= host.sequence);
     if (isOutdated) {
-        return SyncEffect::Outdated;
+        return false;
     }
+    host.lastHeardAt = now;
+    noteExecutorContact(host, call.isExecutorReached, now);
+    return true;
+}
+
+SyncEffect Workload::applySync(const SyncCall &call, Instant now, WallTime wallNow)
+{
+    Host &host = hostFor(call.host);
     const bool wasReachable = isReachable(host, now);
+    if (!noteContact(call, now)) {
+        return SyncEffect::Outdated;
+    }
     host.agentIncarnation = call.agentIncarnation;
     host.sequence = call.sequence;
-    host.lastHeardAt = now;
-    noteExecutorContact(host, call.isExecutorReached, now);
     // A host that was out of contact offers its resources again, and one that is now out of contact no longer does.
     bool isChanged = !wasReachable || !isReachable(host, now);
     if (!call.hasReport) {
--- a/tests/batch/agent_test.cpp
+++ b/tests/batch/agent_test.cpp
@@ -392,3 +392,29 @@
     REQUIRE(fixture.calls.back().report.incarnation.instance == "i-2");
     REQUIRE(crashedRuns(fixture.calls.back()) == CrashedRuns{{AgentFixture::run("job", 1), false}});
 }
+
+// Guards against an agent that is ignored for good: it restarted after its clock had been set back, and its process had the lower number.
+TEST_CASE("An agent whose earlier process has the higher number takes a higher one at once")
+{
+    std::uint64_t known = 0;
+    AgentFixture fixture([&](const batch::SyncCall &call) {
+        batch::SyncReply reply;
+        reply.isLeader = true;
+        reply.token = base::FencingToken(7);
+        reply.agentIncarnation = std::max(known, call.agentIncarnation);
+        return reply;
+    });
+    fixture.runUntil([&] {
+        return !fixture.calls.empty();
+    });
+    const std::uint64_t own = fixture.calls.back().agentIncarnation;
+    fixture.runFor(50ms);
+    REQUIRE(fixture.calls.back().agentIncarnation == own);
+    known = own + 2'000'000;
+    fixture.runUntil([&] {
+        return fixture.calls.back().agentIncarnation > known;
+    });
+    known = fixture.calls.back().agentIncarnation;
+    fixture.runFor(50ms);
+    REQUIRE(fixture.calls.back().agentIncarnation == known);
+}
--- a/tests/batch/executor_loss_test.cpp
+++ b/tests/batch/executor_loss_test.cpp
@@ -149,3 +149,20 @@
     });
     REQUIRE_FALSE(fixture.calls.back().isExecutorReached);
 }
+
+// Guards against work that is given up too early: a leader that was still loading granted leases without noting that it had heard the host.
+TEST_CASE("Contact with a host counts from a call that a leader received while it was loading")
+{
+    WorkloadFixture fixture;
+    const std::string host = startTask(fixture);
+    fixture.reportOrdersRunning(host, 20);
+    fixture.silentHosts.insert(host);
+    passTime(fixture, 8000ms);
+    auto &call = fixture.call(host);
+    ++call.sequence;
+    REQUIRE(fixture.workload.noteContact(call, fixture.now));
+    passTime(fixture, GivenUpAfter - 1000ms);
+    REQUIRE(unitOf(fixture, "j").members.size() == 1);
+    passTime(fixture, 1000ms);
+    REQUIRE(unitOf(fixture, "j").phase == batch::UnitPhase::Waiting);
+}
--- a/tests/batch/scheduler_test.cpp
+++ b/tests/batch/scheduler_test.cpp
@@ -289,3 +289,30 @@
     REQUIRE(reply->grant == 0ms);
     fixture.stop();
 }
+
+// Guards against work that runs twice: calls that the leader ignored as those of an earlier process were still granted the executor's lease.
+TEST_CASE("A call of an agent's earlier process is granted nothing, and learns of the later one")
+{
+    Fixture fixture;
+    auto &entry = fixture.addEntry("e1");
+    fixture.syncUntil(entry, [](const batch::SyncReply &received) {
+        return received.isLeader && received.grant > 0ms;
+    });
+    batch::SyncCall later = fixture.call();
+    later.agentIncarnation = 7;
+    const auto reply = tests::runOn(fixture.context, entry.scheduler->sync(later));
+    REQUIRE(reply.ok());
+    REQUIRE(reply->agentIncarnation == 7);
+    REQUIRE(reply->grant > 0ms);
+    batch::SyncCall earlier = fixture.call();
+    earlier.agentIncarnation = 6;
+    const auto refused = tests::runOn(fixture.context, entry.scheduler->sync(earlier));
+    REQUIRE(refused.ok());
+    REQUIRE(refused->agentIncarnation == 7);
+    REQUIRE(refused->grant == 0ms);
+    earlier.agentIncarnation = 8;
+    const auto granted = tests::runOn(fixture.context, entry.scheduler->sync(earlier));
+    REQUIRE(granted.ok());
+    REQUIRE(granted->grant > 0ms);
+    fixture.stop();
+}
