batch: Withdraw starts for which a host's room no longer suffices

Cause: the planner places nothing more on a host whose room has shrunk, but looked at nothing that was ordered there before.

Starts that a host has not listed yet are stopped, the newest first, until the rest fits. The agent bars them, and they wait for a place again. Nothing that runs is stopped. An agent also tells at once that a list of runs came from another incarnation than the announced one.

--- a/src/batch/agent.h
+++ b/src/batch/agent.h
@@ -617,7 +617,9 @@
                        "executor restarted unannounced",
                        {{"instance", m_report->incarnation.instance}, {"born", std::to_string(listing.born)}});
         }
-        m_isExecutorReached = false;
+        if (std::exchange(m_isExecutorReached, false)) {
+            markChanged();
+        }
         m_listing.reset();
         m_listToken = {};
     }
--- a/src/batch/planner.cpp
+++ b/src/batch/planner.cpp
@@ -33,6 +33,7 @@
 
     Plan run()
     {
+        withdrawStartsWithoutRoom();
         for (const auto &candidate : m_order.candidates()) {
             planUnit(candidate);
         }
@@ -196,6 +197,46 @@
         }
     }
 
+    /**
+     * Withdraws starts, the newest first, that a host has not listed yet and for which its room no longer suffices. An executor that doesn't
+     * check its room may carry them out whenever it gets to them.
+     */
+    void withdrawStartsWithoutRoom()
+    {
+        for (const auto &state : m_occupancy.hosts()) {
+            if (state.free.covers(Resources())) {
+                continue;
+            }
+            Resources free = state.free;
+            for (const auto &[orderedAt, placedIndex] : newestStarts(state)) {
+                const PlacedUnit &placedUnit = m_occupancy.placedUnits()[placedIndex];
+                if (free.covers(Resources())) {
+                    break;
+                }
+                free += placedUnit.need;
+                if (!placedUnit.isReleasing && !m_occupancy.isStopped(placedIndex)) {
+                    m_occupancy.markStopped(placedIndex);
+                    m_plan.stops.push_back({placedUnit.ref, StopReason::NoRoom});
+                }
+            }
+        }
+    }
+
+    /** When each start on the host that it has not listed yet was ordered, with the index of the placed unit; the latest comes first. */
+    [[nodiscard]] std::vector<std::pair<Instant, std::size_t>> newestStarts(const HostState &state) const
+    {
+        std::vector<std::pair<Instant, std::size_t>> starts;
+        for (const auto &[placedIndex, members] : state.placedUnits) {
+            for (const auto &member : m_occupancy.placedUnits()[placedIndex].ref.unit->members) {
+                if (member.host == state.host->id && member.phase == MemberPhase::Ordered) {
+                    starts.emplace_back(member.orderedAt, placedIndex);
+                }
+            }
+        }
+        std::sort(starts.rbegin(), starts.rend());
+        return starts;
+    }
+
     /**
      * Stops units that won't finish before their draining host leaves: at once if they can start elsewhere now, otherwise, if they have
      * checkpoints, just in time to write a last one.
--- a/src/batch/workload.h
+++ b/src/batch/workload.h
@@ -66,6 +66,8 @@
     Stalled,
     /** An earlier attempt, given up as lost, turned out to have completed. */
     Superseded,
+    /** Its host's room has shrunk, and the host has not listed it yet. */
+    NoRoom,
     /** Its executor restarted under the same id, and either incarnation may have received the order. */
     HostRestarted,
 };
--- a/tests/batch/workload_test.cpp
+++ b/tests/batch/workload_test.cpp
@@ -321,6 +321,54 @@
     REQUIRE(fixture.runRound().placements.at(0).hosts.at(0) != first);
 }
 
+// Guards against LIMIT: a start that was ordered before the room shrank stood for good, and an executor that doesn't check its room took it later.
+TEST_CASE("A start that no longer fits its host is withdrawn, and nothing that runs is")
+{
+    WorkloadFixture fixture;
+    fixture.addHost("a", "r1-1");
+    fixture.addJob("early", "long", "rif", {WorkloadFixture::step(5, 1, 20s)});
+    fixture.runRound();
+    fixture.reportOrdersRunning("a", 5);
+    fixture.addJob("late", "long", "rif", {WorkloadFixture::step(3, 1, 20s)});
+    REQUIRE(fixture.runRound().placements.size() == 3);
+    fixture.call("a").report.capacity.accelerators = 7;
+    fixture.sendReport("a");
+    const auto plan = fixture.runRound();
+    REQUIRE(plan.stops.size() == 1);
+    REQUIRE(plan.stops[0].reason == batch::StopReason::NoRoom);
+    REQUIRE(plan.stops[0].unit.job->spec.id.value() == "late");
+    // The same room asks for nothing more.
+    fixture.advanceClock(200ms);
+    REQUIRE(fixture.runRound().stops.empty());
+    fixture.call("a").report.capacity.accelerators = 2;
+    fixture.sendReport("a");
+    REQUIRE(fixture.runRound().stops.size() == 2);
+    for (std::size_t i = 0; i < 5; ++i) {
+        REQUIRE(unitOf(fixture, "early", i).stopReason == batch::StopReason::None);
+    }
+    // Once the host has barred the starts, they wait for room.
+    fixture.call("a").barred = {WorkloadFixture::run("late", 0, 0, 1), WorkloadFixture::run("late", 0, 1, 1), WorkloadFixture::run("late", 0, 2, 1)};
+    fixture.sendReport("a");
+    REQUIRE(unitOf(fixture, "late", 0).phase == batch::UnitPhase::Waiting);
+    REQUIRE(fixture.runRound().placements.empty());
+}
+
+TEST_CASE("A start of a whole host is withdrawn when the host's room shrinks, and placed elsewhere")
+{
+    WorkloadFixture fixture;
+    fixture.addHost("a", "r1-1");
+    fixture.addJob("job", "urgent", "atlas", {WorkloadFixture::step(1, 8, 2s)});
+    REQUIRE(fixture.runRound().placements.size() == 1);
+    fixture.call("a").report.capacity.accelerators = 4;
+    fixture.addHost("b", "r1-2");
+    fixture.sendReport("a");
+    REQUIRE(fixture.runRound().stops.size() == 1);
+    fixture.call("a").barred = {WorkloadFixture::run("job", 0, 0, 1)};
+    fixture.sendReport("a");
+    fixture.runRound();
+    REQUIRE(unitOf(fixture, "job").members.at(0).host.value() == "b");
+}
+
 TEST_CASE("A host whose room has shrunk gets no more than it offers now")
 {
     WorkloadFixture fixture;
