batch: Compare an announcement's address with the known incarnation's

The first version of the check compared the announced address with the one that the agent calls.

An incarnation keeps the address that it announced, as it keeps its service and its data centre; whether a new one is the executor's, the executor tells.

The cases of the foreign heartbeat pass as before, with one more for the address.

--- a/src/batch/announced_executor.h
+++ b/src/batch/announced_executor.h
@@ -34,14 +34,8 @@
     /** The fencing token under which the agent calls the executor; FencingToken() if it knows none yet. */
     using CurrentToken = std::function<base::FencingToken()>;
 
-    AnnouncedExecutor(asio::any_io_executor executor,
-                      const wire::Address &address,
-                      Executor &port,
-                      metrics::Registry &metrics,
-                      CurrentToken currentToken,
-                      ReportTaken reportTaken)
+    AnnouncedExecutor(asio::any_io_executor executor, Executor &port, metrics::Registry &metrics, CurrentToken currentToken, ReportTaken reportTaken)
         : m_executor(std::move(executor))
-        , m_address(address)
         , m_port(port)
         , m_currentToken(std::move(currentToken))
         , m_reportTaken(std::move(reportTaken))
@@ -52,7 +46,7 @@
     /** Handles an announcement. Unless it is Foreign, its sender may take it for acknowledged. */
     AnnouncementVerdict handle(Announcement announcement)
     {
-        const auto verdict = judgeAnnouncement(m_known, announcement, m_address);
+        const auto verdict = judgeAnnouncement(m_known, announcement);
         switch (verdict) {
         case AnnouncementVerdict::Update:
             take(std::move(announcement));
@@ -145,7 +139,6 @@
     }
 
     asio::any_io_executor m_executor;
-    const wire::Address m_address;
     Executor &m_port;
     CurrentToken m_currentToken;
     ReportTaken m_reportTaken;
--- a/src/batch/announcement.cpp
+++ b/src/batch/announcement.cpp
@@ -3,16 +3,15 @@
 namespace plantainfork::batch
 {
 
-AnnouncementVerdict judgeAnnouncement(const std::optional<Announcement> &known, const Announcement &next, const wire::Address &executor)
+AnnouncementVerdict judgeAnnouncement(const std::optional<Announcement> &known, const Announcement &next)
 {
-    if (next.address != executor) {
-        return AnnouncementVerdict::Foreign;
-    }
     if (!known || known->report.incarnation != next.report.incarnation) {
         return AnnouncementVerdict::Unconfirmed;
     }
-    // An incarnation keeps its service and its data centre.
-    if (known->report.service != next.report.service || known->report.dataCentre != next.report.dataCentre) {
+    // An incarnation keeps its address, its service and its data centre.
+    const bool isSameExecutor =
+        known->address == next.address && known->report.service == next.report.service && known->report.dataCentre == next.report.dataCentre;
+    if (!isSameExecutor) {
         return AnnouncementVerdict::Foreign;
     }
     return next.sequence > known->sequence ? AnnouncementVerdict::Update : AnnouncementVerdict::Outdated;
--- a/src/batch/announcement.h
+++ b/src/batch/announcement.h
@@ -22,7 +22,7 @@
 /** What an executor, or whoever claims to be one, says of itself. */
 struct Announcement {
     HostReport report;
-    /** Where it takes orders. */
+    /** Where it says that it takes orders; an agent may reach it by another address. */
     wire::Address address;
     /** Orders the announcements of one incarnation. */
     std::uint64_t sequence = 0;
@@ -39,8 +39,8 @@
     Foreign,
 };
 
-/** `known`: the last announcement that was taken, if any; `executor`: the address of the agent's executor. */
-[[nodiscard]] AnnouncementVerdict judgeAnnouncement(const std::optional<Announcement> &known, const Announcement &next, const wire::Address &executor);
+/** `known`: the last announcement that was taken, if any. */
+[[nodiscard]] AnnouncementVerdict judgeAnnouncement(const std::optional<Announcement> &known, const Announcement &next);
 
 enum class Confirmation {
     Confirmed,
--- a/tests/platform/agent_test.cpp
+++ b/tests/platform/agent_test.cpp
@@ -54,6 +54,13 @@
         body["Seq"] = 1'000'000;
         body["Service"] = "no-such-service";
     }
+    SECTION("under the executor's own id and birth, of another address")
+    {
+        id = "i-1";
+        body["born"] = agent.born;
+        body["Seq"] = 1'000'000;
+        body["Addr"] = "127.0.0.1:9";
+    }
     agent.send(id, body.dump());
     agent.calls.clear();
     agent.runFor(300ms);
