batch: Log what makes a host's executor another one

An agent wrote what it knew anew, but not what it had known, nor how long ago its executor had last answered.

The leader writes "executor of host new" and "executor left its host"; a lost run names the incarnation that it was on. Lost runs are counted by their reason (plantainfork_batch_lost_runs_total). No decision changes.

--- a/src/batch/agent.h
+++ b/src/batch/agent.h
@@ -92,11 +92,16 @@
         }
         const bool isChanged =
             isNewIncarnation || m_report->isDraining != report.isDraining || m_report->capacity != report.capacity || m_report->labels != report.labels;
+        const auto known = m_report ? m_report->incarnation : HostIncarnation();
         m_report = std::move(report);
         if (isNewIncarnation) {
             log::write(log::Severity::Info,
                        "executor known",
-                       {{"instance", m_report->incarnation.instance}, {"born", std::to_string(m_report->incarnation.born)}});
+                       {{"instance", m_report->incarnation.instance},
+                        {"born", std::to_string(m_report->incarnation.born)},
+                        {"known_instance", known.instance},
+                        {"known_born", std::to_string(known.born)},
+                        {"reached_ago_ms", std::to_string(sinceExecutorAnswered().count())}});
             m_isExecutorReached = false;
             m_listing.reset();
             m_listToken = {};
@@ -119,7 +124,12 @@
     void handleExecutorLeave(const std::string &instance)
     {
         if (m_report && m_report->incarnation.instance == instance) {
-            log::write(log::Severity::Info, "executor left", {{"instance", instance}});
+            log::write(log::Severity::Info,
+                       "executor left",
+                       {{"instance", instance},
+                        {"runs", std::to_string(m_possibleRuns.size())},
+                        {"is_reached", m_isExecutorReached ? "true" : "false"},
+                        {"reached_ago_ms", std::to_string(sinceExecutorAnswered().count())}});
             m_report->hasLeft = true;
             markChanged();
         }
@@ -435,6 +445,13 @@
         return m_report && m_report->incarnation == incarnation;
     }
 
+    /** Time since the executor answered a call for its runs; zero if it never has. */
+    [[nodiscard]] std::chrono::milliseconds sinceExecutorAnswered() const
+    {
+        const auto since = m_executorAnsweredAt == runtime::Instant() ? runtime::Clock::duration() : runtime::Clock::now() - m_executorAnsweredAt;
+        return std::chrono::duration_cast<std::chrono::milliseconds>(since);
+    }
+
     /** Lower bound of the executor's current clock reading. */
     [[nodiscard]] ExecutorTime executorNow() const
     {
--- a/src/batch/scheduler.h
+++ b/src/batch/scheduler.h
@@ -478,6 +478,9 @@
             std::vector<log::Field> fields;
             for (const auto &[name, value] : event.fields) {
                 fields.push_back({name, value});
+                if (event.name == "run lost" && name == "why") {
+                    m_metrics.counter("plantainfork_batch_lost_runs_total", {{"why", value}}).add();
+                }
             }
             log::write(log::Severity::Info, event.name, fields);
         }
--- a/src/batch/workload.h
+++ b/src/batch/workload.h
@@ -328,6 +328,8 @@
     /** The functions that apply a part of a sync call return whether it changed more than progress. */
     void noteExecutorContact(Host &host, bool isExecutorReached, Instant now);
     bool applyReport(Host &host, const SyncCall &call, Instant now, WallTime wallNow);
+    /** Logs what makes the leader take another incarnation for the host's executor: what it knew, and which call of the agent tells. */
+    void logNewExecutor(const Host &host, const SyncCall &call);
     bool applyRunningRuns(Host &host, const SyncCall &call, Instant now);
     bool applyEndedRuns(Host &host, const SyncCall &call, Instant now, WallTime wallNow);
     bool applyBarredRuns(Host &host, const SyncCall &call, Instant now, WallTime wallNow);
--- a/src/batch/workload_reports.cpp
+++ b/src/batch/workload_reports.cpp
@@ -71,9 +71,29 @@
     }
 }
 
+void Workload::logNewExecutor(const Host &host, const SyncCall &call)
+{
+    const auto known = host.hasReport ? host.report.incarnation : HostIncarnation();
+    log("executor of host new",
+        {{"host", host.id.value()},
+         {"instance", call.report.incarnation.instance},
+         {"born", std::to_string(call.report.incarnation.born)},
+         {"known_instance", known.instance},
+         {"known_born", std::to_string(known.born)},
+         {"runs", std::to_string(host.units.size())},
+         {"crashed_runs", std::to_string(call.crashed.size())},
+         {"agent", std::to_string(call.agentIncarnation)},
+         {"call", std::to_string(call.sequence)},
+         {"list_token", std::to_string(call.listToken.value())},
+         {"is_reached", call.isExecutorReached ? "true" : "false"}});
+}
+
 bool Workload::applyReport(Host &host, const SyncCall &call, Instant now, WallTime wallNow)
 {
     const bool isNew = !host.hasReport || host.report.incarnation != call.report.incarnation;
+    if (isNew) {
+        logNewExecutor(host, call);
+    }
     if (host.hasReport && host.report.isDraining != call.report.isDraining) {
         log("host draining",
             {{"host", host.id.value()},
@@ -86,6 +106,9 @@
     // An agent tells of its executor's crash, unless it has ended, too.
     const bool hasGivenNotice = host.hasReport && (host.report.isDraining || host.report.hasLeft);
     const bool hasEndedUnseen = isNew && !call.hasSeenEnd && !hasGivenNotice;
+    if (hasJustLeft) {
+        log("executor left its host", {{"host", host.id.value()}, {"instance", call.report.incarnation.instance}, {"runs", std::to_string(host.units.size())}});
+    }
     host.report = call.report;
     if (isChanged) {
         host.rack = rackOf(host.report);
@@ -298,7 +321,13 @@
 void Workload::markMemberLost(Job &job, Unit &unit, std::size_t member, Instant now, WallTime wallNow, std::string_view why)
 {
     log("run lost",
-        {{"job", job.spec.id.value()}, {"task", job.taskOf(unit, member).text()}, {"host", unit.members[member].host.value()}, {"why", std::string(why)}});
+        {{"job", job.spec.id.value()},
+         {"task", job.taskOf(unit, member).text()},
+         {"attempt", std::to_string(unit.attempt.value())},
+         {"host", unit.members[member].host.value()},
+         {"instance", unit.members[member].incarnation.instance},
+         {"born", std::to_string(unit.members[member].incarnation.born)},
+         {"why", std::string(why)}});
     endMember(job, unit, member, EndKind::Lost, "", now, wallNow);
 }
 
