tests: Reproduce three ways to two runs of a task at once

In each, something that isn't proof is taken for the end of an executor's life, or for its clock: a goodbye, which anyone may send and which may come late; a call of an agent that was under way since before the leader's term; the clock of the life before.

- platform_test: after a goodbye under its id, an executor that goes on answering is reported as having left, whose runs the leader gives up.
- batch_test, workload: a leader that has just begun its term takes the incarnation in a delayed call for the present one.

--- a/tests/batch/agent_fixture.h
+++ b/tests/batch/agent_fixture.h
@@ -61,6 +61,7 @@
     boost::asio::awaitable<absl::StatusOr<batch::Listing>> hold(batch::HoldRequest request, runtime::Instant)
     {
         holds.push_back(request);
+        holdClocks.push_back(clock());
         if (std::exchange(isNextHoldFailing, false)) {
             throw std::runtime_error("executor's answer not understood");
         }
@@ -78,12 +79,23 @@
 
     [[nodiscard]] batch::ExecutorTime clock() const
     {
-        return std::chrono::duration_cast<batch::ExecutorTime>(runtime::Clock::now() - m_begin) + 1h;
+        return std::chrono::duration_cast<batch::ExecutorTime>(runtime::Clock::now() - m_begin) + m_clockAtBegin;
+    }
+
+    /** A new process under the same id: its clock begins anew, and it runs nothing. */
+    void restart(std::uint64_t born)
+    {
+        m_begin = runtime::Clock::now();
+        m_clockAtBegin = 0ms;
+        listing = {};
+        listing.born = born;
     }
 
     std::vector<Start> starts;
     std::vector<batch::RunId> stops;
     std::vector<batch::HoldRequest> holds;
+    /** The executor's clock at each call for its runs. */
+    std::vector<batch::ExecutorTime> holdClocks;
     batch::Listing listing;
     bool isNextAnswerLost = false;
     /** Runs aren't listed, as by answers that were under way when they started. */
@@ -104,6 +116,7 @@
 
 private:
     runtime::Instant m_begin = runtime::Clock::now();
+    batch::ExecutorTime m_clockAtBegin = 1h;
 };
 
 /** An agent with its executor, and a leader whose replies the test gives. */
--- a/tests/batch/agent_test.cpp
+++ b/tests/batch/agent_test.cpp
@@ -418,3 +418,35 @@
     fixture.runFor(50ms);
     REQUIRE(fixture.calls.back().agentIncarnation == known);
 }
+
+// Guards against work that runs twice: the lease of a restarted executor was set by the clock of the one before, hours ahead of its own.
+TEST_CASE("The lease of an executor that has restarted unnoticed ends with the grant")
+{
+    const std::chrono::milliseconds grant(2000);
+    AgentFixture fixture([grant](const batch::SyncCall &) {
+        return AgentFixture::order(AgentFixture::run("job", 1), 3, 1, grant);
+    });
+    fixture.runUntil([&] {
+        return !fixture.calls.empty() && !fixture.calls.back().running.empty();
+    });
+    SECTION("between two calls for its runs that it answers")
+    {
+    }
+    SECTION("while it answered none")
+    {
+        fixture.executor.isAway = true;
+        fixture.runUntil([&] {
+            return !fixture.calls.back().isExecutorReached;
+        });
+    }
+    fixture.executor.restart(2);
+    fixture.executor.isAway = false;
+    // The call that was under way when it restarted, or that finds out, can't know of it.
+    const std::size_t first = fixture.executor.holds.size() + 1;
+    fixture.runUntil([&] {
+        return fixture.executor.holds.size() >= first + 4;
+    });
+    for (std::size_t i = first; i < fixture.executor.holds.size(); ++i) {
+        REQUIRE(fixture.executor.holds[i].until <= fixture.executor.holdClocks[i] + grant);
+    }
+}
--- a/tests/batch/workload_test.cpp
+++ b/tests/batch/workload_test.cpp
@@ -383,3 +383,30 @@
     fixture.sendReport("a");
     REQUIRE(fixture.runRound().placements.size() == 1);
 }
+
+// Guards against work that runs twice: a call that had been under way since before the term told of an incarnation that was gone.
+TEST_CASE("A host's first call in a term counts for the runs there only with a list of runs under the term's token")
+{
+    WorkloadFixture before;
+    before.addHost("a", "r1-1");
+    auto &job = before.addJob("job", "long", "rif", {WorkloadFixture::step(1, 8, 20s)});
+    before.call("a").report.incarnation = {"i-next", 2};
+    before.sendReport("a");
+    before.runRound();
+    const auto record = before.workload.recordOf(job);
+
+    WorkloadFixture after;
+    after.workload.addJob(job.spec, record, after.now, after.wallNow());
+    auto delayed = before.call("a");
+    delayed.report.incarnation = {"i-a", 1};
+    delayed.listToken = base::FencingToken(WorkloadFixture::Token - 1);
+    delayed.sequence = 1;
+    after.workload.applySync(delayed, after.now, after.wallNow());
+    REQUIRE(unitOf(after, "job").phase == batch::UnitPhase::Placed);
+    REQUIRE(unitOf(after, "job").attempt == batch::Attempt(1));
+
+    auto listed = before.call("a");
+    listed.running = {{WorkloadFixture::run("job", 0, 0, 1), "", 5}};
+    after.workload.applySync(listed, after.now, after.wallNow());
+    REQUIRE(unitOf(after, "job").members.at(0).phase == batch::MemberPhase::Running);
+}
--- a/tests/platform/agent_fixture.h
+++ b/tests/platform/agent_fixture.h
@@ -93,6 +93,22 @@
         return exchange.response.ok() ? exchange.response->status : 0;
     }
 
+    /** Sends a goodbye under the id to the agent; returns the status of the answer. */
+    unsigned sendGoodbye(const std::string &id)
+    {
+        http::Request request;
+        request.method = "POST";
+        request.target = "/plantainfork/instances/" + id + "/deregister";
+        auto exchange = runOn(context, m_heartbeats->send(std::move(request), runtime::Clock::now() + 5s));
+        return exchange.response.ok() ? exchange.response->status : 0;
+    }
+
+    /** The executor's process ends: its connections are closed, and nothing listens at its address any more. */
+    void endExecutor()
+    {
+        m_executorServer.reset();
+    }
+
     void runFor(std::chrono::milliseconds time)
     {
         runOn(context, runtime::sleepFor(time));
--- a/tests/platform/agent_test.cpp
+++ b/tests/platform/agent_test.cpp
@@ -1,4 +1,4 @@
-/** Which heartbeats an agent takes for those of its executor. */
+/** Which heartbeats and goodbyes an agent takes for those of its executor. */
 #include <catch2/catch.hpp>
 
 #include "platform/agent_fixture.h"
@@ -118,3 +118,18 @@
         return agent.reported() == batch::HostIncarnation{agent.instance, agent.born};
     });
 }
+
+// Guards against work that runs twice: a goodbye that came late, or from another writer, ended what is known of an executor that works on.
+TEST_CASE("A goodbye under the executor's id doesn't end what is known of it while it answers")
+{
+    PlatformAgentFixture agent;
+    announceExecutor(agent);
+    REQUIRE(agent.sendGoodbye("i-1") == 200);
+    agent.calls.clear();
+    agent.runFor(1500ms);
+    REQUIRE_FALSE(agent.calls.empty());
+    for (const auto &call : agent.calls) {
+        REQUIRE_FALSE(call.report.hasLeft);
+        REQUIRE(call.isExecutorReached);
+    }
+}
