batch: Take a goodbye for an executor's end only once its address refuses

Callers' tasks could run twice: 0.8 s after a goodbye under an executor's id the leader gave up all that ran there and started it on other hosts. A goodbye names an id and nothing else. One of another writer, or one that came late from an earlier life of the same id, had this effect on an executor that worked on, and so had its own if it was slow to end.

The class is that of the foreign heartbeat: a claim of an end that nothing confirms. The agent now closes the host to new work on a goodbye, goes on asking the executor for its runs, and tells the leader that it has left once a connection to its address is refused. Silence confirms nothing; what runs then ends with the lease. An executor that still answers after 4 s did not send the goodbye, and its host is open again. The decision is judgeGoodbye().

--- a/src/batch/agent.h
+++ b/src/batch/agent.h
@@ -18,6 +18,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
+#include "batch/announcement.h"
 #include "batch/executor_port.h"
 #include "batch/loop.h"
 #include "batch/messages.h"
@@ -59,6 +60,7 @@
         , m_starts(metrics.counter("plantainfork_batch_starts_total"))
         , m_holdFailures(metrics.counter("plantainfork_batch_hold_failures_total"))
         , m_crashes(metrics.counter("plantainfork_batch_executor_crashes_total"))
+        , m_goodbyes(metrics.counter("plantainfork_batch_goodbyes_total"))
         , m_startSeconds(metrics.histogram("plantainfork_batch_start_seconds"))
     {
         const auto wall = std::chrono::system_clock::now().time_since_epoch();
@@ -93,6 +95,10 @@
         const bool isChanged =
             isNewIncarnation || m_report->isDraining != report.isDraining || m_report->capacity != report.capacity || m_report->labels != report.labels;
         const auto known = m_report ? m_report->incarnation : HostIncarnation();
+        if (!isNewIncarnation) {
+            report.isLeaving = m_report->isLeaving;
+            report.hasLeft = m_report->hasLeft;
+        }
         m_report = std::move(report);
         if (isNewIncarnation) {
             log::write(log::Severity::Info,
@@ -120,19 +126,27 @@
         }
     }
 
-    /** Handles the executor's announcement that it leaves. */
-    void handleExecutorLeave(const std::string &instance)
+    /**
+     * Handles a goodbye under the executor's id. It names no incarnation, anyone may send it, and it may come late, so the executor counts as
+     * gone only once nothing listens at its address any more.
+     */
+    void handleGoodbye(const std::string &instance)
     {
-        if (m_report && m_report->incarnation.instance == instance) {
-            log::write(log::Severity::Info,
-                       "executor left",
-                       {{"instance", instance},
-                        {"runs", std::to_string(m_possibleRuns.size())},
-                        {"is_reached", m_isExecutorReached ? "true" : "false"},
-                        {"reached_ago_ms", std::to_string(sinceExecutorAnswered().count())}});
-            m_report->hasLeft = true;
-            markChanged();
+        if (!m_report || m_report->incarnation.instance != instance || m_report->hasLeft) {
+            return;
         }
+        m_goodbyes.add();
+        log::write(log::Severity::Info,
+                   "executor says goodbye",
+                   {{"instance", instance},
+                    {"born", std::to_string(m_report->incarnation.born)},
+                    {"runs", std::to_string(m_possibleRuns.size())},
+                    {"is_reached", m_isExecutorReached ? "true" : "false"},
+                    {"reached_ago_ms", std::to_string(sinceExecutorAnswered().count())}});
+        m_report->isLeaving = true;
+        m_goodbyeAt = runtime::Clock::now();
+        markChanged();
+        m_ordersChanged.notify();
     }
 
     /** The leader's fencing token; FencingToken() until a leader has answered. */
@@ -588,6 +602,7 @@
         const auto listing = co_await m_port.hold(request, sentAt + HoldTimeout + wait);
         if (!listing.ok()) {
             m_holdFailures.add();
+            judgeLastGoodbye(incarnation, sentAt, listing.status());
             // A call that began before another one was answered says nothing about the executor as it is now.
             const bool isNews = m_executorAnsweredAt < sentAt && isCurrentIncarnation(incarnation);
             if (isNews && std::exchange(m_isExecutorReached, false)) {
@@ -608,15 +623,40 @@
             log::write(log::Severity::Info, "executor reached", {{"instance", incarnation.instance}});
             markChanged();
         }
+        judgeLastGoodbye(incarnation, sentAt, absl::OkStatus());
         applyListing(*listing, request.token, sequence);
         co_return true;
     }
 
+    /** Lets the answer to a call for the runs of the incarnation, which was sent after a goodbye under its id, confirm or reject the goodbye. */
+    void judgeLastGoodbye(const HostIncarnation &incarnation, runtime::Instant sentAt, const absl::Status &answer)
+    {
+        if (!isCurrentIncarnation(incarnation) || !m_report->isLeaving || sentAt < m_goodbyeAt) {
+            return;
+        }
+        const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(runtime::Clock::now() - m_goodbyeAt);
+        const auto verdict = judgeGoodbye(age, answer, m_report->hasLeft);
+        if (verdict == GoodbyeVerdict::Open) {
+            return;
+        }
+        const bool isConfirmed = verdict == GoodbyeVerdict::Confirmed;
+        log::write(isConfirmed ? log::Severity::Info : log::Severity::Warning,
+                   isConfirmed ? "executor left" : "goodbye not confirmed",
+                   {{"instance", incarnation.instance},
+                    {"born", std::to_string(incarnation.born)},
+                    {"runs", std::to_string(m_possibleRuns.size())},
+                    {"goodbye_age_ms", std::to_string(age.count())},
+                    {"reason", std::string(answer.message())}});
+        m_report->isLeaving = isConfirmed;
+        m_report->hasLeft = isConfirmed;
+        markChanged();
+    }
+
     /** The known incarnation of the executor is gone. If it gave no notice, keeps what it may have been running: one of these runs may be the cause. */
     void handleIncarnationEnd()
     {
         const std::size_t runs = m_possibleRuns.size();
-        const bool hasGivenNotice = m_report->isDraining || m_report->hasLeft;
+        const bool hasGivenNotice = m_report->isDraining || m_report->isLeaving || m_report->hasLeft;
         if (hasGivenNotice || !m_possibleRuns.recordCrash(m_report->incarnation)) {
             return;
         }
@@ -738,6 +778,8 @@
     std::uint64_t m_sequence = 0;
 
     std::optional<HostReport> m_report;
+    /** When the last goodbye came under the executor's id. */
+    runtime::Instant m_goodbyeAt{};
     /** Highest fencing token received; replies with lower ones are ignored. */
     base::FencingToken m_token;
     /** The executor's lease may be renewed up to this time. */
@@ -777,6 +819,7 @@
     metrics::Counter &m_starts;
     metrics::Counter &m_holdFailures;
     metrics::Counter &m_crashes;
+    metrics::Counter &m_goodbyes;
     metrics::Histogram &m_startSeconds;
 };
 
--- a/src/batch/announcement.cpp
+++ b/src/batch/announcement.cpp
@@ -44,4 +44,13 @@
     return "unknown";
 }
 
+GoodbyeVerdict judgeGoodbye(std::chrono::milliseconds age, const absl::Status &answer, bool isConfirmed)
+{
+    if (answer.ok()) {
+        return isConfirmed || age > GoodbyeLife ? GoodbyeVerdict::Rejected : GoodbyeVerdict::Open;
+    }
+    // Silence proves nothing: what runs goes on until the executor's lease ends.
+    return absl::IsFailedPrecondition(answer) && !isConfirmed ? GoodbyeVerdict::Confirmed : GoodbyeVerdict::Open;
+}
+
 } // namespace plantainfork::batch
--- a/src/batch/announcement.h
+++ b/src/batch/announcement.h
@@ -1,11 +1,13 @@
 /**
- * Decides which announcements an agent takes for those of its executor. Pure functions: no I/O and no clock.
+ * Decides which announcements and goodbyes an agent takes for those of its executor. Pure functions: no I/O and no clock.
  *
  * The load that they answer: an executor announces itself every second or two; another writer may announce anything beside it, also under
  * the executor's id; and an announcement that was delayed may arrive after its sender has crashed and another incarnation has started.
+ * A goodbye, which names an id alone, may come late or from another writer as well.
  */
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <optional>
 #include <string_view>
@@ -57,4 +59,21 @@
 
 [[nodiscard]] std::string_view confirmationText(Confirmation confirmation);
 
+enum class GoodbyeVerdict {
+    Open,
+    /** The executor's process has ended. */
+    Confirmed,
+    /** The executor lives on: it didn't send the goodbye. */
+    Rejected,
+};
+
+/** How long an executor that has said goodbye may go on answering: it ends right after. */
+constexpr std::chrono::milliseconds GoodbyeLife{4000};
+
+/**
+ * What the answer to a call for the executor's runs that was sent after the goodbye says about it. `age`: time since the goodbye;
+ * `isConfirmed`: an earlier answer has confirmed it.
+ */
+[[nodiscard]] GoodbyeVerdict judgeGoodbye(std::chrono::milliseconds age, const absl::Status &answer, bool isConfirmed);
+
 } // namespace plantainfork::batch
--- a/src/batch/executor_port.h
+++ b/src/batch/executor_port.h
@@ -70,7 +70,10 @@
     return isProcessedListed ? processed : 0;
 }
 
-/** Client of a host's executor. Calls return by their deadline. Aborted: it has seen a higher token. NotFound: another incarnation. */
+/**
+ * Client of a host's executor. Calls return by their deadline. Aborted: it has seen a higher token. NotFound: another incarnation.
+ * FailedPrecondition: nothing listens at its address.
+ */
 template<typename T>
 concept ExecutorPort = requires(T port,
                                 RunOrder order,
--- a/src/batch/model.h
+++ b/src/batch/model.h
@@ -239,10 +239,12 @@
     /** The host takes no new tasks; active runs may continue for `remaining`. */
     bool isDraining = false;
     std::chrono::milliseconds remaining{0};
-    /** The executor has announced that it leaves; its runs end within WorkloadBounds::departureMargin. */
+    /** A goodbye has come under its id; it takes no new tasks. A goodbye proves nothing, as anyone may send one, and one may come late. */
+    bool isLeaving = false;
+    /** After the goodbye, nothing listens at its address any more; its runs end within WorkloadBounds::departureMargin. */
     bool hasLeft = false;
 
-    MSGPACK_DEFINE(incarnation, service, dataCentre, capacity, labels, isDraining, remaining, hasLeft);
+    MSGPACK_DEFINE(incarnation, service, dataCentre, capacity, labels, isDraining, remaining, isLeaving, hasLeft);
 };
 
 /** A queue for callers' jobs, as defined by the operator. */
--- a/src/batch/occupancy.cpp
+++ b/src/batch/occupancy.cpp
@@ -31,7 +31,7 @@
         HostState state;
         state.host = &host;
         state.free = host.report.capacity;
-        state.isOpen = !host.report.isDraining && !host.report.hasLeft && m_workload.isReachable(host, m_now) && m_now >= host.suspendedUntil
+        state.isOpen = !host.report.isDraining && !host.report.isLeaving && m_workload.isReachable(host, m_now) && m_now >= host.suspendedUntil
             && !evacuated.contains(host.report.dataCentre);
         m_hasDrainingHosts = m_hasDrainingHosts || host.report.isDraining;
         m_indexByNumber[host.number] = m_hosts.size();
--- a/src/batch/workload_reports.cpp
+++ b/src/batch/workload_reports.cpp
@@ -101,10 +101,10 @@
              {"remaining_ms", std::to_string(call.report.remaining.count())}});
     }
     const bool hasJustLeft = call.report.hasLeft && (isNew || !host.report.hasLeft);
-    const bool isChanged = isNew || hasJustLeft || host.report.isDraining != call.report.isDraining || host.report.capacity != call.report.capacity
-        || host.report.labels != call.report.labels;
+    const bool isChanged = isNew || hasJustLeft || host.report.isDraining != call.report.isDraining || host.report.isLeaving != call.report.isLeaving
+        || host.report.capacity != call.report.capacity || host.report.labels != call.report.labels;
     // An agent tells of its executor's crash, unless it has ended, too.
-    const bool hasGivenNotice = host.hasReport && (host.report.isDraining || host.report.hasLeft);
+    const bool hasGivenNotice = host.hasReport && (host.report.isDraining || host.report.isLeaving || host.report.hasLeft);
     const bool hasEndedUnseen = isNew && !call.hasSeenEnd && !hasGivenNotice;
     if (hasJustLeft) {
         log("executor left its host", {{"host", host.id.value()}, {"instance", call.report.incarnation.instance}, {"runs", std::to_string(host.units.size())}});
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -40,6 +40,9 @@
     if (error == beast::error::timeout) {
         return absl::DeadlineExceededError(step + ": no answer before the deadline");
     }
+    if (error == beast::errc::connection_refused) {
+        return absl::FailedPreconditionError(step + ": " + error.message());
+    }
     return absl::UnavailableError(step + ": " + error.message());
 }
 
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -28,7 +28,7 @@
 
 struct Exchange {
     Delivery delivery = Delivery::NotSent;
-    /** The answer, or why there is none. DeadlineExceeded and Unavailable are the usual failures. */
+    /** The answer, or why there is none. DeadlineExceeded and Unavailable are the usual failures; FailedPrecondition: the connection was refused. */
     absl::StatusOr<Response> response;
 };
 
--- a/tests/batch/agent_fixture.h
+++ b/tests/batch/agent_fixture.h
@@ -166,7 +166,7 @@
     /** The executor announces that it leaves. */
     void announceLeave(const std::string &instance)
     {
-        m_agent->handleExecutorLeave(instance);
+        m_agent->handleGoodbye(instance);
     }
 
     void runFor(std::chrono::milliseconds time)
--- a/tests/batch/announcement_test.cpp
+++ b/tests/batch/announcement_test.cpp
@@ -4,6 +4,7 @@
 #include "batch/announcement.h"
 
 using namespace plantainfork;
+using namespace std::chrono_literals;
 using batch::AnnouncementVerdict;
 using batch::Confirmation;
 
@@ -73,3 +74,17 @@
     REQUIRE(judgeConfirmation(announced, absl::UnavailableError("503")) == Confirmation::Unknown);
     REQUIRE(judgeConfirmation(announced, absl::DeadlineExceededError("no reply")) == Confirmation::Unknown);
 }
+
+TEST_CASE("A goodbye is confirmed by a refused connection alone, and rejected by an executor that lives on")
+{
+    const std::chrono::milliseconds soon(10);
+    const std::chrono::milliseconds late = batch::GoodbyeLife + 1ms;
+    const auto refused = absl::FailedPreconditionError("connect: Connection refused");
+    REQUIRE(batch::judgeGoodbye(soon, refused, false) == batch::GoodbyeVerdict::Confirmed);
+    REQUIRE(batch::judgeGoodbye(soon, refused, true) == batch::GoodbyeVerdict::Open);
+    REQUIRE(batch::judgeGoodbye(late, absl::UnavailableError("receive: end of stream"), false) == batch::GoodbyeVerdict::Open);
+    REQUIRE(batch::judgeGoodbye(late, absl::DeadlineExceededError("no answer"), false) == batch::GoodbyeVerdict::Open);
+    REQUIRE(batch::judgeGoodbye(soon, absl::OkStatus(), false) == batch::GoodbyeVerdict::Open);
+    REQUIRE(batch::judgeGoodbye(late, absl::OkStatus(), false) == batch::GoodbyeVerdict::Rejected);
+    REQUIRE(batch::judgeGoodbye(soon, absl::OkStatus(), true) == batch::GoodbyeVerdict::Rejected);
+}
--- a/tests/platform/agent_fixture.h
+++ b/tests/platform/agent_fixture.h
@@ -106,7 +106,8 @@
     /** The executor's process ends: its connections are closed, and nothing listens at its address any more. */
     void endExecutor()
     {
-        m_executorServer.reset();
+        m_hasExecutorEnded = true;
+        runOn(context, m_executorServer->drain(runtime::Clock::now() + 5s));
     }
 
     void runFor(std::chrono::milliseconds time)
@@ -141,6 +142,11 @@
 private:
     boost::asio::awaitable<http::Response> answerOrder(http::Request request)
     {
+        if (m_hasExecutorEnded) {
+            http::Response none;
+            none.status = http::NoAnswer;
+            co_return none;
+        }
         const Json wanted = Json::parse(request.body);
         Json reply{{"ClockMs", 1000}, {"born", born}};
         if (request.header("X-Plantainfork-Expected-Instance") != instance) {
@@ -167,6 +173,7 @@
 
     batch::Settings m_settings;
     std::unique_ptr<http::Server> m_executorServer;
+    bool m_hasExecutorEnded = false;
     std::unique_ptr<rpc::Server> m_leader;
     std::unique_ptr<platform::Agent> m_agent;
     std::unique_ptr<http::Client> m_heartbeats;
--- a/tests/platform/agent_test.cpp
+++ b/tests/platform/agent_test.cpp
@@ -124,6 +124,9 @@
 {
     PlatformAgentFixture agent;
     announceExecutor(agent);
+    agent.runUntil([&] {
+        return agent.calls.back().isExecutorReached;
+    });
     REQUIRE(agent.sendGoodbye("i-1") == 200);
     agent.calls.clear();
     agent.runFor(1500ms);
@@ -133,3 +136,31 @@
         REQUIRE(call.isExecutorReached);
     }
 }
+
+TEST_CASE("An executor has left once nothing listens at its address after its goodbye")
+{
+    PlatformAgentFixture agent;
+    announceExecutor(agent);
+    REQUIRE(agent.sendGoodbye("i-1") == 200);
+    agent.runUntil([&] {
+        return agent.calls.back().report.isLeaving;
+    });
+    agent.endExecutor();
+    agent.runUntil([&] {
+        return agent.calls.back().report.hasLeft;
+    });
+}
+
+TEST_CASE("A goodbye counts for nothing once the executor has answered for longer than an end takes")
+{
+    PlatformAgentFixture agent;
+    announceExecutor(agent);
+    REQUIRE(agent.sendGoodbye("i-1") == 200);
+    agent.runUntil([&] {
+        return agent.calls.back().report.isLeaving;
+    });
+    agent.runUntil([&] {
+        return !agent.calls.back().report.isLeaving;
+    });
+    REQUIRE_FALSE(agent.calls.back().report.hasLeft);
+}
