batch: Believe a host's first call in a term only with a list of runs

A new leader knows neither what a host's executor was nor the order of its agent's calls. A call that had been under way since before the term (a connection that was cut and healed delivers it before all newer ones) told it of an incarnation that was gone, so it gave up the runs that the records place on the present one, and started them elsewhere beside it.

Only a list of runs under the term's token shows that a call was made in this term. The agent gets the token with the first reply, at once, so this costs one call; contact counts as before.

Test: "A host's first call in a term ..." failed before: the run's unit was waiting again.

--- a/src/batch/workload_reports.cpp
+++ b/src/batch/workload_reports.cpp
@@ -38,7 +38,9 @@
     host.sequence = call.sequence;
     // A host that was out of contact offers its resources again, and one that is now out of contact no longer does.
     bool isChanged = !wasReachable || !isReachable(host, now);
-    if (!call.hasReport) {
+    // Before a host's first list of runs in this term nothing tells a call that was under way since before the term from a present one.
+    const bool isKnown = host.hasReport || call.listToken == m_token;
+    if (!call.hasReport || !isKnown) {
         return SyncEffect::Progress;
     }
     isChanged = applyCrashedRuns(host, call, now, wallNow) || isChanged;
