batch: Set no lease by another life's clock, or by an old reading

A hold's deadline is a time on the executor's clock, which begins anew with each life, and an executor never shortens its lease. After an executor had restarted under its id and before it announced itself, the agent went on sending deadlines of the life before: hours ahead, so that each call gave the new life the longest lease, up to 10 s beyond the grant. A start that the new life had received ran on beside its next attempt if the agent went down then. A reading that was a minute old, after a pause of the agent, was up to 1.2 s too high with a clock that is 2 % slow.

The class is an old statement that is taken for a present one. A reading now counts for 2.9 s, the time for which an executor holds a call, and for the life alone that gave it. While the executor isn't reached, calls for its runs set no deadline; the next one, a moment later, does.

--- a/src/batch/agent.h
+++ b/src/batch/agent.h
@@ -19,6 +19,7 @@
 #include <boost/asio/detached.hpp>
 
 #include "batch/announcement.h"
+#include "batch/executor_clock.h"
 #include "batch/executor_port.h"
 #include "batch/loop.h"
 #include "batch/messages.h"
@@ -111,7 +112,7 @@
             m_isExecutorReached = false;
             m_listing.reset();
             m_listToken = {};
-            m_clockAt = {};
+            m_clock.forget();
             m_starting.clear();
             m_unlisted.clear();
             m_possibleRuns.beginIncarnation();
@@ -466,17 +467,11 @@
         return std::chrono::duration_cast<std::chrono::milliseconds>(since);
     }
 
-    /** Lower bound of the executor's current clock reading. */
-    [[nodiscard]] ExecutorTime executorNow() const
-    {
-        return m_clock + std::chrono::duration_cast<std::chrono::milliseconds>(runtime::Clock::now() - m_clockAt);
-    }
-
     /** The executor takes a start's deadline as the end of its lease if that is later, so it must not be later than the grant. */
-    [[nodiscard]] ExecutorTime startDeadline() const
+    [[nodiscard]] ExecutorTime startDeadline(ExecutorTime executorNow) const
     {
         const auto granted = std::chrono::duration_cast<std::chrono::milliseconds>(m_grantUntil - runtime::Clock::now());
-        return executorNow() + std::min(granted, StartLifetime);
+        return executorNow + std::min(granted, StartLifetime);
     }
 
     asio::awaitable<void> startRun([[maybe_unused]] std::shared_ptr<Agent> self, RunId run, HostIncarnation incarnation)
@@ -484,7 +479,8 @@
         const auto begin = runtime::Clock::now();
         unsigned failures = 0;
         while (isCurrentIncarnation(incarnation) && isOrdered(run) && !isListed(run)) {
-            if (m_listToken != m_token || runtime::Clock::now() >= m_grantUntil) {
+            const auto executorNow = m_clock.now();
+            if (m_listToken != m_token || runtime::Clock::now() >= m_grantUntil || !executorNow) {
                 co_await m_ordersChanged.waitUntil(runtime::Clock::now() + HoldRetryDelay);
                 continue;
             }
@@ -496,7 +492,7 @@
             const bool isFirstStart = m_possibleRuns.addStart(run, runtime::Clock::now());
             const bool isExecutorAway = !m_isExecutorReached;
             const auto answerDeadline = runtime::Clock::now() + OrderTimeout;
-            const auto result = co_await m_port.start(order, incarnation, m_token, startDeadline(), answerDeadline);
+            const auto result = co_await m_port.start(order, incarnation, m_token, startDeadline(*executorNow), answerDeadline);
             // An executor that has crashed may still accept connections, which end without an answer. One that stays silent may start the run later.
             const bool isSilent = runtime::Clock::now() >= answerDeadline;
             const bool mayRun = result.outcome == StartOutcome::Started || (result.outcome == StartOutcome::Unknown && (!isExecutorAway || isSilent));
@@ -594,8 +590,9 @@
         request.acknowledged = m_ordersToken == m_token && m_listing ? acknowledgement(m_listing->ended, m_orders.acknowledged) : 0;
         request.wait = wait;
         const auto remaining = std::chrono::duration_cast<std::chrono::milliseconds>(m_grantUntil - runtime::Clock::now());
-        if (m_clockAt != runtime::Instant() && remaining.count() > 0) {
-            request.until = executorNow() + remaining;
+        // After a call without an answer, the next one may meet another life with a clock of its own.
+        if (const auto executorNow = m_clock.now(); executorNow && m_isExecutorReached && remaining.count() > 0) {
+            request.until = *executorNow + remaining;
         }
         const std::uint64_t sequence = ++m_holdsSent;
         const auto sentAt = runtime::Clock::now();
@@ -679,14 +676,14 @@
         }
         m_listing.reset();
         m_listToken = {};
+        m_clock.forget();
     }
 
     /** Takes a listing, unless that of a later call has arrived already; only its clock is used then. */
     void applyListing(const Listing &listing, base::FencingToken token, std::uint64_t sequence)
     {
-        const bool isClockReset = m_clockAt == runtime::Instant() || listing.clock < m_clock;
-        m_clock = listing.clock;
-        m_clockAt = runtime::Clock::now();
+        const bool wasClockKnown = m_clock.now().has_value();
+        m_clock.set(listing.clock);
         if (sequence < m_listingSequence) {
             return;
         }
@@ -694,13 +691,13 @@
         const bool isChanged = !m_listing || m_listToken != token || haveRunsChanged(*m_listing, listing);
         m_listing = listing;
         m_unlisted.clear();
-        m_possibleRuns.applyListing(listing, m_clockAt);
+        m_possibleRuns.applyListing(listing, runtime::Clock::now());
         m_listToken = token;
         if (isChanged) {
             markChanged();
             m_ordersChanged.notify();
         }
-        if (isClockReset) {
+        if (!wasClockKnown) {
             m_ordersChanged.notify();
         }
         for (const auto &order : m_orders.runs) {
@@ -794,9 +791,7 @@
     base::FencingToken m_listToken;
     std::uint64_t m_holdsSent = 0;
     std::uint64_t m_listingSequence = 0;
-    /** The executor's clock read at least m_clock at m_clockAt. */
-    ExecutorTime m_clock{0};
-    runtime::Instant m_clockAt{};
+    ExecutorClock m_clock;
 
     std::set<RunId> m_starting;
     /** Started but not listed yet: only a listing shows which incarnation of the executor has them. */
