batch: Start nothing from the orders of an earlier term

An agent that had been cut off or paused while its runs were given up came back to a new leader, was granted the lease at once, listed its runs under the new token and started what the orders of the earlier term still held, with the new token, beside the next attempt. Orders of the new term reach it a round later. The agent now starts runs only from orders of the term whose token it uses.

A leader that gave up the runs of a host before its first call cleared the note of it with orders that name no incarnation, which no agent takes, and granted the lease to an agent with older orders. The note now stays until the host has reported.

--- a/src/batch/agent.h
+++ b/src/batch/agent.h
@@ -480,7 +480,9 @@
         unsigned failures = 0;
         while (isCurrentIncarnation(incarnation) && isOrdered(run) && !isListed(run)) {
             const auto executorNow = m_clock.now();
-            if (m_listToken != m_token || runtime::Clock::now() >= m_grantUntil || !executorNow) {
+            // Orders of an earlier term may hold runs that have been given up since; the next leader's token would let them start all the same.
+            const bool isOrderCurrent = m_ordersToken == m_token && m_listToken == m_token;
+            if (!isOrderCurrent || runtime::Clock::now() >= m_grantUntil || !executorNow) {
                 co_await m_ordersChanged.waitUntil(runtime::Clock::now() + HoldRetryDelay);
                 continue;
             }
--- a/src/batch/workload.cpp
+++ b/src/batch/workload.cpp
@@ -412,7 +412,9 @@
 
 void Workload::confirmPublished(const HostId &id)
 {
-    hostFor(id).hasUnpublishedLosses = false;
+    Host &host = hostFor(id);
+    // An agent takes orders for the incarnation of its own report only.
+    host.hasUnpublishedLosses = host.hasUnpublishedLosses && !host.hasReport;
 }
 
 bool Workload::mayRenewLease(const SyncCall &call) const
--- a/tests/batch/agent_test.cpp
+++ b/tests/batch/agent_test.cpp
@@ -450,3 +450,40 @@
         REQUIRE(fixture.executor.holds[i].until <= fixture.executor.holdClocks[i] + grant);
     }
 }
+
+// Guards against work that runs twice: a host that had been cut off while its runs were given up started one of them under the next leader's grant.
+TEST_CASE("Orders of an earlier term start nothing under the next leader's token")
+{
+    enum class Office { First, Vacant, Next };
+    auto office = Office::First;
+    AgentFixture fixture([&](const batch::SyncCall &) -> absl::StatusOr<batch::SyncReply> {
+        if (office == Office::Vacant) {
+            return absl::UnavailableError("cut off");
+        }
+        if (office == Office::First) {
+            return AgentFixture::order(AgentFixture::run("job", 1), 3, 1, 300ms);
+        }
+        // As the first replies of a leader, before its first round with this host.
+        auto reply = AgentFixture::order(AgentFixture::run("job", 1), 9, 0, 5s);
+        reply.orders = {};
+        return reply;
+    });
+    fixture.executor.startResult = {batch::StartOutcome::Retryable, "503"};
+    fixture.executor.isStartIgnored = true;
+    fixture.runUntil([&] {
+        return !fixture.executor.starts.empty();
+    });
+    office = Office::Vacant;
+    fixture.runFor(500ms);
+    const std::size_t started = fixture.executor.starts.size();
+    fixture.executor.startResult = {batch::StartOutcome::Started, ""};
+    fixture.executor.isStartIgnored = false;
+    fixture.runFor(100ms);
+    REQUIRE(fixture.executor.starts.size() == started);
+    office = Office::Next;
+    fixture.runUntil([&] {
+        return fixture.calls.back().listToken.value() == 9;
+    });
+    fixture.runFor(300ms);
+    REQUIRE(fixture.executor.starts.size() == started);
+}
--- a/tests/batch/executor_loss_test.cpp
+++ b/tests/batch/executor_loss_test.cpp
@@ -166,3 +166,35 @@
     passTime(fixture, 1000ms);
     REQUIRE(unitOf(fixture, "j").phase == batch::UnitPhase::Waiting);
 }
+
+// Guards against work that runs twice: a host that no call had shown yet when its runs were given up was granted the lease with the orders of an earlier term.
+TEST_CASE("A host that is first heard after its runs were given up is granted nothing before it can have orders without them")
+{
+    WorkloadFixture before;
+    before.addHost("a", "r1-1");
+    auto &job = before.addJob("job", "long", "rif", {WorkloadFixture::step(1, 8, 20s)});
+    before.runRound();
+    const auto record = before.workload.recordOf(job);
+
+    WorkloadFixture after;
+    after.workload.addJob(job.spec, record, after.now, after.wallNow());
+    after.advanceClock(10'300ms);
+    REQUIRE(unitOf(after, "job").phase == batch::UnitPhase::Waiting);
+    // The round that gave the runs up publishes orders for an incarnation that isn't known yet; the agent can't take them.
+    const batch::HostId host("a");
+    const auto first = after.workload.ordersFor(after.workload.hosts().at(host));
+    REQUIRE(first.incarnation != before.call("a").report.incarnation);
+    REQUIRE(after.workload.takeChangedHosts().contains(host));
+    after.workload.confirmPublished(host);
+
+    auto call = before.call("a");
+    call.running.clear();
+    ++call.sequence;
+    after.workload.applySync(call, after.now, after.wallNow());
+    REQUIRE_FALSE(after.workload.mayRenewLease(call));
+    const auto next = after.workload.ordersFor(after.workload.hosts().at(host));
+    REQUIRE(next.incarnation == call.report.incarnation);
+    REQUIRE(after.workload.takeChangedHosts().contains(host));
+    after.workload.confirmPublished(host);
+    REQUIRE(after.workload.mayRenewLease(call));
+}
