batch: Remove a job's records only while in office

A leader that had lost its office, or gave it up, in the middle of a cleanup went on removing the records of ended jobs. Between a new leader's readings of the jobs and of their states, this left a job without a state, which the new leader ran once more, 150 s after its end. Each removal now depends on the office, as each record does.

Test: "An entry that has lost the office removes no job's records" failed before.

--- a/src/batch/state_records.h
+++ b/src/batch/state_records.h
@@ -67,7 +67,9 @@
                 }
             }
             for (const auto &id : expired) {
-                co_await removeJob(*term, id);
+                if (!term->isOver) {
+                    co_await removeJob(*term, id);
+                }
             }
         }
     }
@@ -106,16 +108,22 @@
         return records;
     }
 
-    /** Writes the records in one transaction; returns whether it was applied. */
-    asio::awaitable<bool> writeBatch(Term &term, const Records &records)
+    /** The condition that this scheduler still holds the lease. */
+    [[nodiscard]] store::Write officeLock(const Term &term) const
     {
-        std::vector<store::Write> rows;
         store::Write lock;
         lock.kind = store::Write::Kind::Lock;
         lock.key = std::string(keys::Leader);
         lock.value = wire::encode(LeaderRecord{m_settings.id, m_settings.rpc});
         lock.session = term.session;
-        rows.push_back(std::move(lock));
+        return lock;
+    }
+
+    /** Writes the records in one transaction; returns whether it was applied. */
+    asio::awaitable<bool> writeBatch(Term &term, const Records &records)
+    {
+        std::vector<store::Write> rows;
+        rows.push_back(officeLock(term));
         for (const auto &[id, value] : records) {
             store::Write row;
             row.key = keys::state(id);
@@ -173,6 +181,7 @@
             co_return;
         }
         std::vector<store::Write> rows;
+        rows.push_back(officeLock(term));
         for (const auto &entry : all->entries) {
             rows.push_back({store::Write::Kind::Remove, entry.key, "", entry.modified, {}});
         }
--- a/tests/batch/scheduler_test.cpp
+++ b/tests/batch/scheduler_test.cpp
@@ -316,3 +316,54 @@
     REQUIRE(granted->grant > 0ms);
     fixture.stop();
 }
+
+// Guards against work that runs again: a leader out of office removed a job's records between the next leader's readings of its jobs and of their states.
+TEST_CASE("An entry that has lost the office removes no job's records")
+{
+    Fixture fixture;
+    tests::MemoryStore store(fixture.data);
+    metrics::Registry metrics;
+    batch::Settings settings;
+    runtime::Signal wake(fixture.context.get_executor());
+    const auto term =
+        std::make_shared<batch::Term>(fixture.context.get_executor(), base::FencingToken(1), batch::WorkloadBounds{}, runtime::Clock::now(), wake);
+    term->session = fixture.data->createSession(1min);
+    store::Write lock;
+    lock.kind = store::Write::Kind::Lock;
+    lock.key = std::string(batch::keys::Leader);
+    lock.session = term->session;
+    REQUIRE(fixture.data->transact({lock}).outcome == store::WriteOutcome::Applied);
+
+    fixture.addJob("job");
+    const auto spec = fixture.data->read(batch::keys::job(base::JobId("job"), batch::keys::JobPart::Spec), false);
+    batch::JobState state;
+    state.status = batch::JobStatus::Complete;
+    store::Write record;
+    record.key = batch::keys::state(base::JobId("job"));
+    record.value = wire::encode(state);
+    const auto written = fixture.data->transact({record});
+    REQUIRE(written.outcome == store::WriteOutcome::Applied);
+    term->stateIndex[base::JobId("job")] = written.written.front().modified;
+    auto decoded = wire::decode<batch::JobSpec>(spec.entries.front().value);
+    REQUIRE(decoded.ok());
+    term->workload.addJob(*decoded, state, runtime::Clock::now(), batch::wallNow());
+
+    batch::StateRecords<tests::MemoryStore> records(settings, store, metrics);
+    boost::asio::co_spawn(fixture.context, records.removeExpiredJobs(term), boost::asio::detached);
+    SECTION("which has passed to another entry")
+    {
+        fixture.data->destroySession(term->session);
+        lock.session = fixture.data->createSession(1min);
+        REQUIRE(fixture.data->transact({lock}).outcome == store::WriteOutcome::Applied);
+        tests::runOn(fixture.context, runtime::sleepFor(batch::SchedulerTiming::CleanupInterval + 300ms));
+        REQUIRE_FALSE(fixture.data->read(record.key, false).entries.empty());
+        REQUIRE_FALSE(fixture.data->read(batch::keys::job(base::JobId("job"), batch::keys::JobPart::Spec), false).entries.empty());
+    }
+    SECTION("but while it has the office, it removes them")
+    {
+        tests::runOn(fixture.context, runtime::sleepFor(batch::SchedulerTiming::CleanupInterval + 300ms));
+        REQUIRE(fixture.data->read(record.key, false).entries.empty());
+    }
+    term->isOver = true;
+    tests::runOn(fixture.context, runtime::sleepFor(batch::SchedulerTiming::CleanupInterval + 300ms));
+}
