explain: Show what the leader and the agents believe of a host's executor

The lines that tell why a run was given up ("executor of host new", "executor left its host", "executor not reached by its agent"; at the agent, goodbyes and announcements of others) carry no job, so a job's timeline lacked them. They are taken for the hosts of its runs, as "executor known" was already.

A host on which a run was lost is followed for ten seconds more, as its executor may be known again only after the job's end, and back to where its agent began to know the incarnation of the lost run.

--- a/src/explain/timeline.cpp
+++ b/src/explain/timeline.cpp
@@ -17,6 +17,9 @@
 /** How long before a job's first line a change of belief may still have decided about it: the longest lease of what runs. */
 constexpr std::chrono::seconds Before{10};
 
+/** How long after a job's last line the hosts on which runs were lost are followed: a run that lives on ends with the longest lease. */
+constexpr std::chrono::seconds AfterLoss{10};
+
 /** Steps of a job's life in the order in which one causes the next. */
 constexpr std::array<std::string_view, 7> Stages{"job accepted", "job known", "unit placed", "run started", "unit stopping", "run ended", "job ended"};
 
@@ -32,7 +35,7 @@
                                                         "records written again"};
 
 /** What a process believes about its own way to others: these concern the jobs that it has to do with. */
-constexpr std::array<std::string_view, 19> OwnBeliefs{"policy not confirmed",
+constexpr std::array<std::string_view, 24> OwnBeliefs{"policy not confirmed",
                                                       "policy still not confirmed",
                                                       "policy watch ended",
                                                       "policy confirmed again",
@@ -44,16 +47,25 @@
                                                       "scheduler not reached",
                                                       "scheduler's lease",
                                                       "executor known",
+                                                      "executor says goodbye",
                                                       "executor left",
+                                                      "goodbye not confirmed",
                                                       "executor reached",
                                                       "executor not reached",
                                                       "executor crashed",
                                                       "executor restarted unannounced",
+                                                      "announcement of another writer",
+                                                      "announced incarnation not confirmed",
+                                                      "earlier process of this agent has a later start time",
                                                       "connection rejected",
                                                       "daemon starting"};
 
 /** What the scheduler believes about a host: these concern the jobs that ran there. */
-constexpr std::array<std::string_view, 2> HostBeliefs{"host draining", "host suspended"};
+constexpr std::array<std::string_view, 5> HostBeliefs{"host draining",
+                                                      "host suspended",
+                                                      "executor of host new",
+                                                      "executor left its host",
+                                                      "executor not reached by its agent"};
 
 template<std::size_t Size>
 bool isOneOf(const std::array<std::string_view, Size> &events, const std::string &event)
@@ -183,6 +195,8 @@
     Timeline timeline{job, {}};
     std::set<std::string> members;
     std::set<std::string> hosts;
+    std::set<std::string> lostHosts;
+    std::set<std::string> lostInstances;
     LogTime first = LogTime::max();
     LogTime last = LogTime::min();
     for (const auto &line : lines) {
@@ -193,19 +207,28 @@
         timeline.lines.back().fields["job"] = job;
         members.insert(line.field("member"));
         hosts.merge(splitAtCommas(line.field("hosts")));
+        if (line.event == "run lost") {
+            lostHosts.insert(line.field("host"));
+            lostInstances.insert(line.field("instance"));
+        }
         first = std::min(first, line.time);
         last = std::max(last, line.time);
     }
+    hosts.insert(lostHosts.begin(), lostHosts.end());
     members.insert(hosts.begin(), hosts.end());
     const auto unconfirmed = unconfirmedSince(timeline.lines);
     const auto policies = unconfirmed.empty() ? std::set<const LogLine *>() : policiesInForce(lines, unconfirmed, last);
     for (const auto &line : lines) {
         const auto since = unconfirmed.find(line.field("member"));
         const LogTime begin = since == unconfirmed.end() ? first : std::min(first, since->second);
-        const bool isMeanwhile = jobOf(line).empty() && line.time + Before >= begin && line.time <= last;
+        const bool isOfLostHost = lostHosts.contains(line.field("member")) || lostHosts.contains(line.field("host"));
+        const LogTime end = isOfLostHost ? last + AfterLoss : last;
+        const bool isMeanwhile = jobOf(line).empty() && line.time + Before >= begin && line.time <= end;
         const bool isBelief = isOneOf(SharedBeliefs, line.event) || (isOneOf(OwnBeliefs, line.event) && members.contains(line.field("member")))
             || (isOneOf(HostBeliefs, line.event) && hosts.contains(line.field("host")));
-        if ((isMeanwhile && isBelief) || policies.contains(&line)) {
+        // When an agent began to know the incarnation that lost runs were on, however long before.
+        const bool isOfLostInstance = line.event == "executor known" && isOfLostHost && lostInstances.contains(line.field("instance")) && line.time < begin;
+        if ((isMeanwhile && isBelief) || isOfLostInstance || policies.contains(&line)) {
             timeline.lines.push_back(line);
         }
     }
