explain: Say how a task came to run twice

After a complaint about two runs at once, an engineer had to find the host of the lost attempt, then the lines about its executor at the leader and at its agent, and to compare incarnations by eye.

For each lost attempt with a later one, the verdict names the reason, the incarnation that the leader knew and the one that it was told of by which call, what the agent wrote, what shows that the earlier attempt or its executor lived on, and where to look next. Without such a line it claims nothing. Runs that were given up together are told once.

--- a/src/explain/timeline.cpp
+++ b/src/explain/timeline.cpp
@@ -236,6 +236,17 @@
     return timeline;
 }
 
+std::vector<const LogLine *> ownLines(const Timeline &timeline, const std::string &event)
+{
+    std::vector<const LogLine *> found;
+    for (const auto &line : timeline.lines) {
+        if (line.event == event && line.field("job") == timeline.job) {
+            found.push_back(&line);
+        }
+    }
+    return found;
+}
+
 std::string describe(const Timeline &timeline)
 {
     if (timeline.lines.empty()) {
--- a/src/explain/timeline.h
+++ b/src/explain/timeline.h
@@ -19,6 +19,9 @@
 
 [[nodiscard]] Timeline gather(const std::vector<LogLine> &lines, const std::string &job);
 
+/** The lines of the job's own with that event. */
+[[nodiscard]] std::vector<const LogLine *> ownLines(const Timeline &timeline, const std::string &event);
+
 /** One line each, with the time since the first. */
 [[nodiscard]] std::string describe(const Timeline &timeline);
 
--- a/src/explain/verdict.cpp
+++ b/src/explain/verdict.cpp
@@ -5,6 +5,8 @@
 #include <optional>
 #include <vector>
 
+#include "explain/lost_runs.h"
+
 namespace plantainfork::explain
 {
 
@@ -31,18 +33,6 @@
     return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count()) + " ms";
 }
 
-/** The lines of the job's own with that event. */
-std::vector<const LogLine *> own(const Timeline &timeline, const std::string &event)
-{
-    std::vector<const LogLine *> found;
-    for (const auto &line : timeline.lines) {
-        if (line.event == event && line.field("job") == timeline.job) {
-            found.push_back(&line);
-        }
-    }
-    return found;
-}
-
 /** Events of others between two times, each with its number. */
 std::string between(const Timeline &timeline, LogTime from, LogTime to)
 {
@@ -81,7 +71,7 @@
 {
     std::vector<const LogLine *> all;
     for (const char *event : {"job refused", "request refused", "key unknown"}) {
-        const auto found = own(timeline, event);
+        const auto found = ownLines(timeline, event);
         all.insert(all.end(), found.begin(), found.end());
     }
     std::sort(all.begin(), all.end(), [](const LogLine *a, const LogLine *b) {
@@ -94,16 +84,16 @@
 std::string lossesOf(const Timeline &timeline)
 {
     std::map<std::string, unsigned> losses;
-    for (const auto *line : own(timeline, "unit stopping")) {
+    for (const auto *line : ownLines(timeline, "unit stopping")) {
         ++losses["stopped as " + line->field("reason")];
     }
-    for (const auto *line : own(timeline, "run ended")) {
+    for (const auto *line : ownLines(timeline, "run ended")) {
         const std::string how = line->field("how");
         if (how == "failed" || how == "lapsed" || how == "alone") {
             ++losses["ended as " + how];
         }
     }
-    for (const auto *line : own(timeline, "run lost")) {
+    for (const auto *line : ownLines(timeline, "run lost")) {
         ++losses["lost (" + line->field("why") + ")"];
     }
     std::string text;
@@ -147,8 +137,8 @@
 /** Whether executors crashed under the job, and what to do when it was given up for that. */
 std::string crashText(const Timeline &timeline)
 {
-    const auto crashes = own(timeline, "executor crashed under run");
-    const auto ends = own(timeline, "unit given up");
+    const auto crashes = ownLines(timeline, "executor crashed under run");
+    const auto ends = ownLines(timeline, "unit given up");
     if (ends.empty()) {
         return crashes.empty()
             ? ""
@@ -212,7 +202,7 @@
 {
     std::map<std::string, std::vector<const LogLine *>> refusals;
     std::size_t count = 0;
-    for (const auto *line : own(timeline, "request refused")) {
+    for (const auto *line : ownLines(timeline, "request refused")) {
         if (line->field("reason") == "policy not confirmed") {
             refusals[line->field("member")].push_back(line);
             ++count;
@@ -240,13 +230,13 @@
 std::string undeliveredText(const Timeline &timeline)
 {
     std::string text;
-    if (const auto late = own(timeline, "answer late"); !late.empty()) {
+    if (const auto late = ownLines(timeline, "answer late"); !late.empty()) {
         const LogLine &last = *late.back();
         text += " " + counted(late.size(), "answer") + " came after " + (late.size() == 1 ? "its caller" : "their callers")
             + " had given up: " + (late.size() == 1 ? "" : "the last, ") + last.field("call") + " by " + last.field("member") + " after "
             + last.field("took_ms") + " ms, " + last.field("late_ms") + " ms late.";
     }
-    if (const auto undelivered = own(timeline, "answer not delivered"); !undelivered.empty()) {
+    if (const auto undelivered = ownLines(timeline, "answer not delivered"); !undelivered.empty()) {
         const LogLine &last = *undelivered.back();
         text += " " + counted(undelivered.size(), "answer") + " could not be delivered: " + (undelivered.size() == 1 ? "" : "the last, ") + last.field("status")
             + " by " + last.field("member") + " (" + last.field("reason") + ").";
@@ -274,16 +264,16 @@
             from = to;
         }
     };
-    add("until the scheduler knew of it", own(timeline, "job known"), false, "");
-    add("until it was placed", own(timeline, "unit placed"), false, "");
-    add("until it was started", own(timeline, "run started"), false, "");
-    add("until it had ended", own(timeline, "job ended"), true, lossesOf(timeline));
+    add("until the scheduler knew of it", ownLines(timeline, "job known"), false, "");
+    add("until it was placed", ownLines(timeline, "unit placed"), false, "");
+    add("until it was started", ownLines(timeline, "run started"), false, "");
+    add("until it had ended", ownLines(timeline, "job ended"), true, lossesOf(timeline));
     return phases;
 }
 
 std::string acceptedText(const Timeline &timeline, const LogLine &accepted)
 {
-    const auto ends = own(timeline, "job ended");
+    const auto ends = ownLines(timeline, "job ended");
     const auto phases = phasesOf(timeline, accepted);
     std::string text = timeline.job + " was accepted by " + accepted.field("member");
     text += ends.empty() ? " and has no end in these logs"
@@ -306,8 +296,8 @@
 
 std::string verdict(const Timeline &timeline)
 {
-    const auto accepted = own(timeline, "job accepted");
-    const auto unclear = own(timeline, "job unclear");
+    const auto accepted = ownLines(timeline, "job accepted");
+    const auto unclear = ownLines(timeline, "job unclear");
     const auto refusals = refusalsOf(timeline);
     std::string text;
     if (!unclear.empty()) {
@@ -326,7 +316,7 @@
     } else {
         text += timeline.lines.empty() ? "No line tells of " + timeline.job + "." : "No entry's answer for " + timeline.job + " is in these logs.";
     }
-    return text + crashText(timeline) + unconfirmedText(timeline) + undeliveredText(timeline);
+    return text + lostRunsText(timeline) + crashText(timeline) + unconfirmedText(timeline) + undeliveredText(timeline);
 }
 
 } // namespace plantainfork::explain
