batch: Hold the calls of an agent that knows the token but has no orders yet

Since a host's first call in a term counts only with a list of runs, the leader had no orders for the host until then, and answered each call at once: an agent called without a pause while its executor held a call under the earlier token (up to a second), or was away. The agent now says which token it knows, and only one that lacks the leader's is answered at once.

Beside it, an answer of a life that is known to be gone no longer brings back its listing and its clock: answers on different connections overtake each other.

--- a/src/batch/agent.h
+++ b/src/batch/agent.h
@@ -110,6 +110,7 @@
                         {"known_born", std::to_string(known.born)},
                         {"reached_ago_ms", std::to_string(sinceExecutorAnswered().count())}});
             m_isExecutorReached = false;
+            m_isIncarnationGone = false;
             m_listing.reset();
             m_listToken = {};
             m_clock.forget();
@@ -232,6 +233,7 @@
             call.report = *m_report;
         }
         call.isExecutorReached = m_isExecutorReached;
+        call.token = m_token;
         call.ordersToken = m_ordersToken;
         call.ordersVersion = m_orders.version;
         call.entriesVersion = m_entriesVersion;
@@ -610,7 +612,8 @@
             }
             co_return false;
         }
-        if (!isCurrentIncarnation(incarnation)) {
+        // An answer of the known life may arrive after one of the next life under its id.
+        if (!isCurrentIncarnation(incarnation) || (m_isIncarnationGone && listing->born == incarnation.born)) {
             co_return false;
         }
         if (listing->born != 0 && listing->born != incarnation.born) {
@@ -668,6 +671,7 @@
     void handleUnannouncedRestart(const Listing &listing)
     {
         handleIncarnationEnd();
+        m_isIncarnationGone = true;
         if (m_listing) {
             log::write(log::Severity::Info,
                        "executor restarted unannounced",
@@ -770,6 +774,8 @@
     bool m_hasFailed = false;
     /** The present incarnation answered the last call for its runs. */
     bool m_isExecutorReached = false;
+    /** Another life under the same id has answered a call for its runs, and hasn't announced itself yet. */
+    bool m_isIncarnationGone = false;
     /** When it last answered one. */
     runtime::Instant m_executorAnsweredAt{};
     /** The time of the process's start, or higher if the leader knows an earlier process with a later time. */
--- a/src/batch/messages.h
+++ b/src/batch/messages.h
@@ -78,6 +78,8 @@
     HostReport report;
     /** The executor answered the agent's last call for its runs. Otherwise the leader grants nothing: the agent alone doesn't keep runs alive. */
     bool isExecutorReached = false;
+    /** Highest fencing token that the agent knows. */
+    base::FencingToken token;
     /** Fencing token of the host's last listing; the executor rejects lower ones. */
     base::FencingToken listToken;
     base::FencingToken ordersToken;
@@ -103,6 +105,7 @@
                        hasReport,
                        report,
                        isExecutorReached,
+                       token,
                        listToken,
                        ordersToken,
                        ordersVersion,
--- a/src/batch/scheduler.h
+++ b/src/batch/scheduler.h
@@ -213,8 +213,8 @@
         }
         const auto orders = term.orders.find(call.host);
         if (orders == term.orders.end() || orders->second.incarnation != call.report.incarnation) {
-            // There is nothing to carry out yet, but an agent that hasn't listed its runs may need to learn the token.
-            return call.listToken != term.token;
+            // There is nothing to carry out yet, but an agent needs the token to list its runs.
+            return call.token != term.token;
         }
         return call.ordersToken != term.token || orders->second.version > call.ordersVersion;
     }
--- a/tests/batch/scheduler_test.cpp
+++ b/tests/batch/scheduler_test.cpp
@@ -78,6 +78,7 @@
         call.report.service = base::ServiceId("ledger");
         call.report.capacity = {64'000, 256'000, 8};
         call.isExecutorReached = true;
+        call.token = token;
         call.listToken = token;
         return call;
     }
@@ -367,3 +368,19 @@
     term->isOver = true;
     tests::runOn(fixture.context, runtime::sleepFor(batch::SchedulerTiming::CleanupInterval + 300ms));
 }
+
+// Guards against a leader that is kept busy by calls: an agent that hasn't listed its runs yet was answered at once, each time.
+TEST_CASE("A call of an agent that knows the token but hasn't listed its runs is held")
+{
+    Fixture fixture;
+    auto &entry = fixture.addEntry("e1");
+    const auto reply = fixture.syncUntil(entry, isFromLeader);
+    auto call = fixture.call();
+    call.token = reply.token;
+    call.listToken = {};
+    call.wait = 300ms;
+    const auto begin = runtime::Clock::now();
+    REQUIRE(tests::runOn(fixture.context, entry.scheduler->sync(call)).ok());
+    REQUIRE(runtime::Clock::now() - begin >= 300ms);
+    fixture.stop();
+}
