--- a/src/batch/agent.h
+++ b/src/batch/agent.h
@@ -111,6 +111,7 @@
                         {"reached_ago_ms", std::to_string(sinceExecutorAnswered().count())}});
             m_isExecutorReached = false;
             m_isIncarnationGone = false;
+            m_isGoodbyeRejected = false;
             m_listing.reset();
             m_listToken = {};
             m_clock.forget();
@@ -134,10 +135,11 @@
      */
     void handleGoodbye(const std::string &instance)
     {
-        if (!m_report || m_report->incarnation.instance != instance || m_report->hasLeft) {
+        m_goodbyes.add();
+        // A life about which one goodbye was wrong isn't closed to work by the next: its sender may go on.
+        if (!m_report || m_report->incarnation.instance != instance || m_report->isLeaving || m_isGoodbyeRejected) {
             return;
         }
-        m_goodbyes.add();
         log::write(log::Severity::Info,
                    "executor says goodbye",
                    {{"instance", instance},
@@ -612,20 +614,23 @@
             }
             co_return false;
         }
-        // An answer of the known life may arrive after one of the next life under its id.
-        if (!isCurrentIncarnation(incarnation) || (m_isIncarnationGone && listing->born == incarnation.born)) {
+        if (!isCurrentIncarnation(incarnation)) {
             co_return false;
         }
         if (listing->born != 0 && listing->born != incarnation.born) {
             handleUnannouncedRestart(*listing);
             co_return false;
         }
+        if (m_isIncarnationGone) {
+            // Answers on different connections overtake each other: this one is older than that of the next life.
+            co_return false;
+        }
+        judgeLastGoodbye(incarnation, sentAt, absl::OkStatus());
         m_executorAnsweredAt = runtime::Clock::now();
         if (!std::exchange(m_isExecutorReached, true)) {
             log::write(log::Severity::Info, "executor reached", {{"instance", incarnation.instance}});
             markChanged();
         }
-        judgeLastGoodbye(incarnation, sentAt, absl::OkStatus());
         applyListing(*listing, request.token, sequence);
         co_return true;
     }
@@ -633,7 +638,7 @@
     /** Lets the answer to a call for the runs of the incarnation, which was sent after a goodbye under its id, confirm or reject the goodbye. */
     void judgeLastGoodbye(const HostIncarnation &incarnation, runtime::Instant sentAt, const absl::Status &answer)
     {
-        if (!isCurrentIncarnation(incarnation) || !m_report->isLeaving || sentAt < m_goodbyeAt) {
+        if (!isCurrentIncarnation(incarnation) || !m_report->isLeaving || sentAt < std::max(m_goodbyeAt, m_executorAnsweredAt)) {
             return;
         }
         const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(runtime::Clock::now() - m_goodbyeAt);
@@ -649,6 +654,7 @@
                     {"runs", std::to_string(m_possibleRuns.size())},
                     {"goodbye_age_ms", std::to_string(age.count())},
                     {"reason", std::string(answer.message())}});
+        m_isGoodbyeRejected = !isConfirmed;
         m_report->isLeaving = isConfirmed;
         m_report->hasLeft = isConfirmed;
         markChanged();
@@ -783,8 +789,10 @@
     std::uint64_t m_sequence = 0;
 
     std::optional<HostReport> m_report;
-    /** When the last goodbye came under the executor's id. */
+    /** When the goodbye came for which the report says that the executor is leaving. */
     runtime::Instant m_goodbyeAt{};
+    /** The present incarnation lived on after a goodbye. */
+    bool m_isGoodbyeRejected = false;
     /** Highest fencing token received; replies with lower ones are ignored. */
     base::FencingToken m_token;
     /** The executor's lease may be renewed up to this time. */
--- a/src/batch/model.h
+++ b/src/batch/model.h
@@ -244,7 +244,7 @@
     /** After the goodbye, nothing listens at its address any more; its runs end within WorkloadBounds::departureMargin. */
     bool hasLeft = false;
 
-    MSGPACK_DEFINE(incarnation, service, dataCentre, capacity, labels, isDraining, remaining, isLeaving, hasLeft);
+    MSGPACK_DEFINE(incarnation, service, dataCentre, capacity, labels, isDraining, remaining, hasLeft, isLeaving);
 };
 
 /** A queue for callers' jobs, as defined by the operator. */
--- a/src/batch/term.h
+++ b/src/batch/term.h
@@ -100,7 +100,7 @@
             Orders &current = orders[host];
             next.version = current.version + 1;
             current = std::move(next);
-            workload.confirmPublished(host);
+            workload.confirmPublished(host, current.incarnation);
             published(host).notify();
         }
     }
--- a/src/batch/workload.cpp
+++ b/src/batch/workload.cpp
@@ -410,11 +410,11 @@
     }
 }
 
-void Workload::confirmPublished(const HostId &id)
+void Workload::confirmPublished(const HostId &id, const HostIncarnation &incarnation)
 {
     Host &host = hostFor(id);
-    // An agent takes orders for the incarnation of its own report only.
-    host.hasUnpublishedLosses = host.hasUnpublishedLosses && !host.hasReport;
+    const bool canTake = host.hasReport && host.report.incarnation == incarnation;
+    host.hasUnpublishedLosses = host.hasUnpublishedLosses && !canTake;
 }
 
 bool Workload::mayRenewLease(const SyncCall &call) const
--- a/src/batch/workload.h
+++ b/src/batch/workload.h
@@ -274,8 +274,8 @@
 
     /** Hosts whose orders may differ from those at the previous call. */
     [[nodiscard]] std::set<HostId> takeChangedHosts();
-    /** Notes that the agent of the host can have the orders of the last takeChangedHosts(). */
-    void confirmPublished(const HostId &id);
+    /** Notes that the agent of the host can have orders for the incarnation; it takes them if its report names the same one. */
+    void confirmPublished(const HostId &id, const HostIncarnation &incarnation);
     /**
      * Whether the host's agent may go on renewing the executor's lease, according to a call that was applied. After a long silence it may not
      * until it can have orders without the runs that were given up: with older ones it would start them beside their next attempts.
--- a/tests/batch/agent_fixture.h
+++ b/tests/batch/agent_fixture.h
@@ -65,6 +65,13 @@
         if (std::exchange(isNextHoldFailing, false)) {
             throw std::runtime_error("executor's answer not understood");
         }
+        if (nextAnswerDelay.count() > 0) {
+            batch::Listing late = listing;
+            late.clock = clock();
+            const auto delay = std::exchange(nextAnswerDelay, 0ms);
+            co_await runtime::sleepFor(delay);
+            co_return late;
+        }
         co_await runtime::sleepFor(holds.size() == 1 ? firstAnswerDelay : std::min<std::chrono::milliseconds>(request.wait, 50ms));
         if (isAway) {
             co_return absl::UnavailableError("end of stream");
@@ -105,6 +112,8 @@
     bool isNextStartFailing = false;
     /** As if the agent's process were paused between its first call and the answer. */
     std::chrono::milliseconds firstAnswerDelay{0};
+    /** The next list of runs is under way for this long. */
+    std::chrono::milliseconds nextAnswerDelay{0};
     /** Time between the beginning of a run and the answer to its start. */
     std::chrono::milliseconds startAnswerDelay{0};
     /** The answer to a start. */
--- a/tests/batch/agent_test.cpp
+++ b/tests/batch/agent_test.cpp
@@ -487,3 +487,64 @@
     fixture.runFor(300ms);
     REQUIRE(fixture.executor.starts.size() == started);
 }
+
+// Guards against work that runs twice: a start that the next life under the executor's id takes has a deadline of the clock before.
+TEST_CASE("A start after a call without an answer isn't timed by the clock of the life before")
+{
+    const std::chrono::milliseconds grant(2000);
+    bool isOrdered = false;
+    AgentFixture fixture([&](const batch::SyncCall &) {
+        auto reply = AgentFixture::order(AgentFixture::run("job", 1), 3, isOrdered ? 2 : 1, grant);
+        if (!isOrdered) {
+            reply.orders.runs.clear();
+        }
+        return reply;
+    });
+    fixture.runUntil([&] {
+        return !fixture.calls.empty() && fixture.calls.back().isExecutorReached && fixture.calls.back().listToken.value() == 3;
+    });
+    fixture.executor.isAway = true;
+    fixture.runUntil([&] {
+        return !fixture.calls.back().isExecutorReached;
+    });
+    fixture.executor.restart(2);
+    isOrdered = true;
+    fixture.runFor(500ms);
+    fixture.executor.isAway = false;
+    fixture.runFor(300ms);
+    for (const auto &start : fixture.executor.starts) {
+        REQUIRE(start.until <= start.at + grant);
+    }
+}
+
+// Guards against work that runs twice: answers on different connections overtake each other.
+TEST_CASE("A late answer of an earlier life doesn't bring it back")
+{
+    bool isStopped = false;
+    AgentFixture fixture([&](const batch::SyncCall &) {
+        auto reply = AgentFixture::order(AgentFixture::run("job", 1), 3, isStopped ? 2 : 1, 5s);
+        if (isStopped) {
+            reply.orders.runs.clear();
+            reply.orders.stops = {AgentFixture::run("job", 1)};
+        }
+        return reply;
+    });
+    fixture.runUntil([&] {
+        return !fixture.calls.empty() && !fixture.calls.back().running.empty();
+    });
+    fixture.executor.nextAnswerDelay = 400ms;
+    fixture.runUntil([&] {
+        return fixture.executor.nextAnswerDelay.count() == 0;
+    });
+    fixture.executor.restart(2);
+    // The list of runs that follows a stop overtakes the one that is under way.
+    isStopped = true;
+    fixture.runUntil([&] {
+        return !fixture.calls.back().isExecutorReached;
+    });
+    const std::size_t restartedAt = fixture.calls.size();
+    fixture.runFor(600ms);
+    for (std::size_t i = restartedAt; i < fixture.calls.size(); ++i) {
+        REQUIRE_FALSE(fixture.calls[i].isExecutorReached);
+    }
+}
