batch: Take no start without an answer for proof that its task crashes executors

Cause: what may have happened was taken for what did. The agent knows whether an executor answered a start or listed the run, but told the leader only that it might have begun.

An agent now tells of each run of a crashed executor whether it had certainly begun: it was listed, or its start was answered while the executor was reached (an answer after that may come from its next life). The leader records it with the crash. A run that may have begun is blamed as before and makes its task a suspect, but a task is taken for the cause only once two of its runs had certainly begun. Four crashes of any kind still end the job, so that a task whose executors crash before they answer is started once after its third counted crash; the platform allows two. Crashes that the leader counts for agents that ended with their executors stay as they were: they count among the four only.

The field is the last element of its msgpack arrays. A crash of an earlier version is read as one that may have begun, unless its run was listed; an earlier version ignores the element, and a record that it rewrites loses it.

--- a/src/batch/agent.h
+++ b/src/batch/agent.h
@@ -511,6 +511,10 @@
                 logRun("run started", run, result.reason);
                 if (isCurrentIncarnation(incarnation)) {
                     m_unlisted.insert(run);
+                    // An executor that was away may have crashed, and its next life may have answered.
+                    if (!isExecutorAway) {
+                        m_possibleRuns.confirmStart(run);
+                    }
                 }
                 break;
             }
--- a/src/batch/crash_blame.cpp
+++ b/src/batch/crash_blame.cpp
@@ -21,6 +21,22 @@
     return "unknown";
 }
 
+std::string_view runBeginText(RunBegin begin)
+{
+    switch (begin) {
+    case RunBegin::Possible:
+        return "possible";
+    case RunBegin::Certain:
+        return "certain";
+    }
+    return "unknown";
+}
+
+RunBegin beginOf(const CrashedRun &run)
+{
+    return run.listedFor.count() > 0 ? RunBegin::Certain : run.begin;
+}
+
 CrashBlame blameFor(const CrashedUnit &run, const std::vector<CrashedUnit> &runs)
 {
     if (run.isLongRunning && run.listedFor >= CrashTiming::LastingSettleTime) {
@@ -67,6 +83,7 @@
 {
     std::set<HostId> hosts;
     std::size_t blamed = 0;
+    std::size_t certain = 0;
     bool wasSole = false;
     for (const auto &crash : crashes) {
         if (crash.task != task) {
@@ -76,9 +93,11 @@
             hosts.insert(crash.host);
             ++blamed;
         }
+        certain += crash.begin == RunBegin::Certain ? 1 : 0;
         wasSole = wasSole || crash.blame == CrashBlame::Sole;
     }
-    return (wasSole && hosts.size() >= CrashLimits::Hosts) || blamed >= CrashLimits::Blamed || countCrashes(crashes, task) >= CrashLimits::All;
+    const bool isLikelyCause = (wasSole && hosts.size() >= CrashLimits::Hosts) || blamed >= CrashLimits::Blamed;
+    return (isLikelyCause && certain >= CrashLimits::Certain) || countCrashes(crashes, task) >= CrashLimits::All;
 }
 
 } // namespace plantainfork::batch
--- a/src/batch/crash_blame.h
+++ b/src/batch/crash_blame.h
@@ -30,6 +30,14 @@
     Unrelated,
 };
 
+/** Whether a run had begun on an executor that crashed. */
+enum class RunBegin : std::uint8_t {
+    /** Not known: its start was left unanswered, or nobody told. */
+    Possible,
+    /** Its start was answered, or the executor listed it. */
+    Certain,
+};
+
 /** A crash of an executor under a task of a unit. */
 struct Crash {
     Attempt attempt;
@@ -37,9 +45,11 @@
     std::uint32_t task = 0;
     HostId host;
     CrashBlame blame = CrashBlame::Shared;
+    /** A record of an earlier version doesn't have it. */
+    RunBegin begin = RunBegin::Possible;
 
     auto operator<=>(const Crash &) const = default;
-    MSGPACK_DEFINE(attempt, task, host, blame);
+    MSGPACK_DEFINE(attempt, task, host, blame, begin);
 };
 
 /** The crashes under the tasks of a unit, one for each attempt of a task. */
@@ -50,9 +60,11 @@
     RunId run;
     /** Time from its start until the executor last listed it; 0 if it was never listed. */
     std::chrono::milliseconds listedFor{0};
+    /** An agent of an earlier version doesn't tell it. */
+    RunBegin begin = RunBegin::Possible;
 
     auto operator<=>(const CrashedRun &) const = default;
-    MSGPACK_DEFINE(run, listedFor);
+    MSGPACK_DEFINE(run, listedFor, begin);
 };
 
 /** Time after which a run isn't one that crashes its executor when it starts. */
@@ -69,7 +81,9 @@
     static constexpr std::size_t Hosts = 2;
     /** Crashes for which it may be to blame, in whatever company and on whatever hosts. */
     static constexpr std::size_t Blamed = 3;
-    /** Crashes of any kind. */
+    /** Crashes under runs that had certainly begun, before the task is taken for the cause: a start without an answer may have begun nothing. */
+    static constexpr std::size_t Certain = 2;
+    /** Crashes of any kind, also under runs that may not have begun: a task may crash each executor before that answers its start. */
     static constexpr std::size_t All = 4;
 };
 
@@ -87,6 +101,10 @@
 };
 
 [[nodiscard]] std::string_view crashBlameText(CrashBlame blame);
+[[nodiscard]] std::string_view runBeginText(RunBegin begin);
+
+/** Whether the run had begun, also where an agent of an earlier version told of it. */
+[[nodiscard]] RunBegin beginOf(const CrashedRun &run);
 
 /** The blame of one of these runs for the crash of the executor that had them all. */
 [[nodiscard]] CrashBlame blameFor(const CrashedUnit &run, const std::vector<CrashedUnit> &runs);
@@ -106,3 +124,4 @@
 } // namespace plantainfork::batch
 
 MSGPACK_ADD_ENUM(plantainfork::batch::CrashBlame);
+MSGPACK_ADD_ENUM(plantainfork::batch::RunBegin);
--- a/src/batch/possible_runs.h
+++ b/src/batch/possible_runs.h
@@ -26,6 +26,13 @@
     {
         return m_runs.try_emplace(run, PossibleRun{now}).second;
     }
+    /** Notes that the present incarnation has answered the start. */
+    void confirmStart(const RunId &run)
+    {
+        if (const auto found = m_runs.find(run); found != m_runs.end()) {
+            found->second.begin = RunBegin::Certain;
+        }
+    }
     /** Takes back the only start of a run, which has begun nothing. `hasCrashed`: the incarnation to which it was sent has crashed meanwhile. */
     void removeStart(const RunId &run, bool hasCrashed)
     {
@@ -46,6 +53,7 @@
         for (const auto &running : listing.running) {
             // A run without an entry was started by an earlier process of this agent, a while ago.
             PossibleRun &possible = m_runs.try_emplace(running.run, PossibleRun{now - CrashTiming::SettleTime}).first->second;
+            possible.begin = RunBegin::Certain;
             possible.listedFor = std::chrono::duration_cast<std::chrono::milliseconds>(now - possible.startedAt);
         }
         for (const auto &ended : listing.ended) {
@@ -61,7 +69,7 @@
         }
         m_lastCrashed = incarnation;
         for (const auto &[run, possible] : m_runs) {
-            m_crashed.push_back({run, possible.listedFor});
+            m_crashed.push_back({run, possible.listedFor, possible.begin});
         }
         m_runs.clear();
         return true;
@@ -97,6 +105,7 @@
         runtime::Instant startedAt{};
         /** Time from its start to the last listing that had it; 0: none had. */
         std::chrono::milliseconds listedFor{0};
+        RunBegin begin = RunBegin::Possible;
     };
 
     /** Runs of the present incarnation that have, or may have, started and not ended. */
--- a/src/batch/workload_reports.cpp
+++ b/src/batch/workload_reports.cpp
@@ -238,17 +238,17 @@
     std::map<UnitRef, std::size_t> numbers;
     std::vector<CrashedUnit> crashed;
     for (std::size_t i = 0; i < call.crashed.size(); ++i) {
-        const auto &[run, listedFor] = call.crashed[i];
+        const RunId &run = call.crashed[i].run;
         const auto job = m_jobs.find(run.task.job);
         Unit *unit = job != m_jobs.end() ? job->second.unit(run.task) : nullptr;
         const std::size_t number = unit != nullptr ? numbers.try_emplace(UnitRef{&job->second, unit}, i).first->second : i;
-        crashed.push_back({number, listedFor, unit != nullptr && job->second.stepOf(*unit).isLongRunning});
+        crashed.push_back({number, call.crashed[i].listedFor, unit != nullptr && job->second.stepOf(*unit).isLongRunning});
     }
     for (std::size_t i = 0; i < call.crashed.size(); ++i) {
         const RunId &run = call.crashed[i].run;
         const auto job = m_jobs.find(run.task.job);
         Unit *unit = job != m_jobs.end() ? job->second.unit(run.task) : nullptr;
-        const Crash crash{run.attempt, run.task.index, host.id, blameFor(crashed[i], crashed)};
+        const Crash crash{run.attempt, run.task.index, host.id, blameFor(crashed[i], crashed), beginOf(call.crashed[i])};
         if (unit != nullptr && countCrash(job->second, *unit, crash, call.crashed.size(), wallNow)) {
             isChanged = true;
             host.crashedAt = now;
@@ -270,6 +270,7 @@
          {"attempt", std::to_string(crash.attempt.value())},
          {"host", crash.host.value()},
          {"blame", std::string(crashBlameText(crash.blame))},
+         {"begin", std::string(runBeginText(crash.begin))},
          {"crashes", std::to_string(countCrashes(unit.crashes, crash.task))},
          {"runs_on_executor", std::to_string(runsOnExecutor)}});
     if (isGivenUp(unit.crashes, crash.task)) {
@@ -290,7 +291,12 @@
         for (std::size_t i = 0; i < unit->members.size(); ++i) {
             const Member &member = unit->members[i];
             const bool isLost = member.host == host.id && member.phase != MemberPhase::Ended && member.incarnation != host.report.incarnation;
-            if (isLost && countCrash(*job, *unit, {unit->attempt, job->taskOf(*unit, i).index, host.id, CrashBlame::Bystander}, units.size(), wallNow)) {
+            if (isLost
+                && countCrash(*job,
+                              *unit,
+                              {unit->attempt, job->taskOf(*unit, i).index, host.id, CrashBlame::Bystander, RunBegin::Possible},
+                              units.size(),
+                              wallNow)) {
                 host.crashedAt = now;
             }
         }
--- a/tests/batch/agent_test.cpp
+++ b/tests/batch/agent_test.cpp
@@ -22,6 +22,18 @@
     return runs;
 }
 
+/** The same runs, each with whether it had certainly begun. */
+using BegunRuns = std::vector<std::pair<batch::RunId, batch::RunBegin>>;
+
+BegunRuns begunRuns(const batch::SyncCall &call)
+{
+    BegunRuns runs;
+    for (const auto &crashed : call.crashed) {
+        runs.emplace_back(crashed.run, crashed.begin);
+    }
+    return runs;
+}
+
 } // namespace
 
 TEST_CASE("Ended runs are acknowledged only while they are listed, so that a restarted executor drops no unreported ones")
@@ -163,6 +175,7 @@
     });
     REQUIRE(fixture.calls.back().report.incarnation.instance == "i-2");
     REQUIRE(crashedRuns(fixture.calls.back()) == CrashedRuns{{AgentFixture::run("job", 1), hadSettled}});
+    REQUIRE(begunRuns(fixture.calls.back()) == BegunRuns{{AgentFixture::run("job", 1), batch::RunBegin::Certain}});
     fixture.runFor(100ms);
     REQUIRE_FALSE(fixture.calls.back().crashed.empty());
     isCrashRecorded = true;
@@ -393,6 +406,61 @@
     REQUIRE(crashedRuns(fixture.calls.back()) == CrashedRuns{{AgentFixture::run("job", 1), false}});
 }
 
+TEST_CASE("A run has certainly begun on a crashed executor only if a living one has answered its start or listed it")
+{
+    bool isOrdered = false;
+    AgentFixture fixture([&](const batch::SyncCall &call) {
+        auto reply = AgentFixture::order(AgentFixture::run("job", 1), 3, isOrdered ? 2 : 1, 5s);
+        if (!isOrdered || call.report.incarnation.instance == "i-2") {
+            reply.orders.runs.clear();
+        }
+        return reply;
+    });
+    fixture.runUntil([&] {
+        return !fixture.calls.empty() && fixture.calls.back().listToken.value() == 3 && fixture.calls.back().isExecutorReached;
+    });
+    auto begin = batch::RunBegin::Possible;
+    bool isCrashSeenAtOnce = true;
+    SECTION("not if the start was sent within a millisecond of a crash for another reason")
+    {
+        // Soak seed 124: the start's connection ended without an answer, as did the call for the runs right after.
+        fixture.executor.isStartIgnored = true;
+        fixture.executor.startResult = {batch::StartOutcome::Unknown, "end of stream"};
+    }
+    SECTION("not if an executor that was away has answered, which may have been its next life")
+    {
+        fixture.executor.isAway = true;
+        fixture.runUntil([&] {
+            return !fixture.calls.back().isExecutorReached;
+        });
+    }
+    SECTION("if the start was answered")
+    {
+        begin = batch::RunBegin::Certain;
+    }
+    SECTION("if the start's answer was lost, but the run was listed")
+    {
+        begin = batch::RunBegin::Certain;
+        isCrashSeenAtOnce = false;
+        fixture.executor.isNextAnswerLost = true;
+        fixture.executor.startResult = {batch::StartOutcome::Unknown, "answer lost"};
+    }
+    isOrdered = true;
+    fixture.runUntil([&] {
+        return !fixture.executor.starts.empty();
+    });
+    fixture.executor.isAway = isCrashSeenAtOnce;
+    fixture.runUntil([&] {
+        return isCrashSeenAtOnce ? !fixture.calls.back().isExecutorReached : !fixture.calls.back().running.empty();
+    });
+    fixture.executor.listing.running.clear();
+    fixture.announce({"i-2", 2});
+    fixture.runUntil([&] {
+        return fixture.calls.back().report.incarnation.instance == "i-2";
+    });
+    REQUIRE(begunRuns(fixture.calls.back()) == BegunRuns{{AgentFixture::run("job", 1), begin}});
+}
+
 // Guards against an agent that is ignored for good: it restarted after its clock had been set back, and its process had the lower number.
 TEST_CASE("An agent whose earlier process has the higher number takes a higher one at once")
 {
