soak: Have executors leave, pause and be lost, and other writers speak for them

Every third executor's clock is 2 % slow.

A planned end takes what ran along without a crash that tasks could be blamed for (Ledger::left). A call that an executor's life was ended under gets no answer; the next life answered it before.

--- a/tests/platform/soak/executor.cpp
+++ b/tests/platform/soak/executor.cpp
@@ -1,6 +1,7 @@
 #include "platform/soak/executor.h"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 #include <utility>
 
@@ -22,6 +23,9 @@
 constexpr std::chrono::milliseconds DeadlyAfter{10};
 constexpr std::chrono::milliseconds ShortestAway{2000};
 constexpr std::chrono::milliseconds LongestAway{4000};
+constexpr std::chrono::milliseconds LaterBy{1500};
+/** The largest whole number that every reader of JSON keeps. */
+constexpr std::uint64_t LargestSequence = (std::uint64_t{1} << 53) - 1;
 /** The share of its work after which a run that is to fail does so. */
 constexpr double FailsAt = 0.4;
 constexpr double WholePercent = 100.0;
@@ -97,17 +101,35 @@
     if (life != m_life) {
         co_return;
     }
-    forgetAll();
-    m_isDown = true;
+    stop(false);
+    const auto stopped = m_life;
     const bool isOdd = m_life % 2 == 1;
     co_await runtime::sleepFor(isOdd ? LongestAway : ShortestAway);
-    m_isDown = false;
+    if (stopped != m_life) {
+        co_return;
+    }
     m_id = isOdd ? m_name + "-" + std::to_string(m_life) : m_id;
     beginLife();
 }
 
+void Executor::stop(bool isPlanned)
+{
+    if (isPlanned) {
+        m_floor.ledger().left(m_name);
+    }
+    forgetAll();
+    m_isDown = true;
+}
+
+void Executor::restart()
+{
+    m_id = m_name + "-" + std::to_string(m_life);
+    beginLife();
+}
+
 void Executor::beginLife()
 {
+    m_isDown = false;
     m_bornAt = runtime::Clock::now();
     const auto wall = std::chrono::system_clock::now().time_since_epoch();
     m_born = std::chrono::duration_cast<std::chrono::milliseconds>(wall).count();
@@ -115,6 +137,10 @@
 
 void Executor::forgetAll()
 {
+    m_earlierId = m_id;
+    m_earlierReport = report();
+    m_isPaused = false;
+    m_drainsFor.reset();
     const auto lost = std::move(m_runs);
     m_floor.ledger().crashed(m_name);
     ++m_life;
@@ -141,7 +167,7 @@
 
 std::int64_t Executor::clockMs() const
 {
-    return std::chrono::duration_cast<std::chrono::milliseconds>(runtime::Clock::now() - m_bornAt).count();
+    return std::chrono::duration_cast<std::chrono::milliseconds>((runtime::Clock::now() - m_bornAt) * m_bounds.clockRate).count();
 }
 
 http::Response Executor::reply(unsigned status, Json body) const
@@ -154,30 +180,107 @@
 asio::awaitable<void> Executor::announce()
 {
     while (true) {
-        if (m_isDown) {
+        if (m_isDown || m_isPaused) {
             co_await runtime::sleepFor(WorkTick);
             continue;
         }
-        const Json report{{"Service", "kit-studio"},
-                          {"Addr", "127.0.0.1:" + std::to_string(port())},
-                          {"Zone", "lima-a"},
-                          {"Version", "v1"},
-                          {"Slots", 8},
-                          {"State", "ready"},
-                          {"ColdLeftMs", 0},
-                          {"Capacity", {{"Cpu", 64'000}, {"MemMb", 262'144}, {"Gpu", m_accelerators}}},
-                          {"Labels", {"a", m_rack}},
-                          {"ClockMs", clockMs()},
-                          {"born", m_born},
-                          {"Seq", ++m_sequence}};
-        co_await standins::post(m_agent, "/plantainfork/instances/" + m_id + "/heartbeat", report);
+        ++m_sequence;
+        co_await send(m_id, report().dump());
         co_await runtime::sleepFor(AnnounceInterval);
     }
 }
 
+Json Executor::report() const
+{
+    Json report{{"Service", "kit-studio"},
+                {"Addr", "127.0.0.1:" + std::to_string(port())},
+                {"Zone", "lima-a"},
+                {"Version", "v1"},
+                {"Slots", 8},
+                {"State", m_drainsFor ? "draining" : "ready"},
+                {"ColdLeftMs", 0},
+                {"Capacity", {{"Cpu", 64'000}, {"MemMb", 262'144}, {"Gpu", m_accelerators}}},
+                {"Labels", {"a", m_rack}},
+                {"ClockMs", clockMs()},
+                {"born", m_born},
+                {"Seq", m_sequence}};
+    if (m_drainsFor) {
+        report["RemainingMs"] = m_drainsFor->count();
+    }
+    return report;
+}
+
+asio::awaitable<void> Executor::send(std::string id, std::string body)
+{
+    co_await standins::postText(m_agent, "/plantainfork/instances/" + id + "/heartbeat", std::move(body));
+}
+
+asio::awaitable<void> Executor::sayGoodbye()
+{
+    co_await standins::postText(m_agent, "/plantainfork/instances/" + m_id + "/deregister", "");
+}
+
+std::string Executor::foreignReport(FaultKind kind, unsigned variant) const
+{
+    Json foreign = report();
+    foreign["Seq"] = m_sequence + 1;
+    if (kind == FaultKind::HeartbeatOfLaterBirth) {
+        foreign["born"] = m_born + LaterBy.count();
+    } else if (kind == FaultKind::HeartbeatOfOtherService) {
+        foreign["Service"] = "kit-atelier";
+        foreign["Addr"] = "127.0.0.1:9";
+        foreign["Seq"] = LargestSequence;
+    } else if (kind == FaultKind::OddHeartbeat) {
+        constexpr std::array Fields{"Service", "Addr", "Zone", "State", "Capacity", "Labels", "born", "Seq"};
+        const std::string field = Fields.at(variant % Fields.size());
+        foreign["Seq"] = LargestSequence;
+        foreign[field] = Json::array({field, -1});
+        if (variant % 3 == 0) {
+            foreign.erase(field);
+        } else if (variant % 3 == 1) {
+            return "\xff\xfe{\"born\":";
+        }
+    }
+    return foreign.dump();
+}
+
+asio::awaitable<void> Executor::sendForeign(FaultKind kind, unsigned variant)
+{
+    std::string id = m_id;
+    if (kind == FaultKind::HeartbeatOfOtherId) {
+        id += "-other";
+    }
+    co_await send(std::move(id), foreignReport(kind, variant));
+}
+
+asio::awaitable<void> Executor::sendEarlier()
+{
+    const auto until = runtime::Clock::now() + AnnounceInterval;
+    const auto target = "/plantainfork/instances/" + m_earlierId + "/heartbeat";
+    const auto body = m_earlierReport.dump();
+    while (co_await standins::postText(m_agent, target, body) == 0 && runtime::Clock::now() < until) {
+        co_await runtime::sleepFor(WorkTick);
+    }
+}
+
+void Executor::setPaused(bool isPaused)
+{
+    m_isPaused = isPaused && !m_isDown;
+    m_changed.notify();
+}
+
+asio::awaitable<void> Executor::awake() const
+{
+    while (m_isPaused) {
+        co_await runtime::sleepFor(WorkTick);
+    }
+}
+
 asio::awaitable<http::Response> Executor::answer(http::Request request)
 {
-    if (m_isDown) {
+    const auto life = m_life;
+    co_await awake();
+    if (m_isDown || life != m_life) {
         co_return noAnswer();
     }
     const Json wanted = Json::parse(request.body, nullptr, false);
@@ -206,6 +309,7 @@
 asio::awaitable<void> Executor::startLate(Json wanted, std::uint64_t life)
 {
     co_await runtime::sleepFor(LateBy);
+    co_await awake();
     if (life == m_life) {
         startRun(wanted, true);
     }
@@ -227,7 +331,11 @@
         return;
     }
     const auto now = runtime::Clock::now();
-    const auto until = std::min(m_bornAt + std::chrono::milliseconds(wanted.at("DeadlineMs").get<std::int64_t>()), now + m_bounds.longestHold);
+    const auto onClock = [this](std::chrono::milliseconds time) {
+        return std::chrono::duration_cast<runtime::Clock::duration>(time / m_bounds.clockRate);
+    };
+    const std::chrono::milliseconds deadline(wanted.at("DeadlineMs").get<std::int64_t>());
+    const auto until = std::min(m_bornAt + onClock(deadline), now + onClock(m_bounds.longestHold));
     m_leaseUntil = m_leaseUntil == Instant::max() ? until : std::max(m_leaseUntil, until);
 }
 
@@ -324,7 +432,8 @@
     while (m_ends.empty() && life == m_life && runtime::Clock::now() < until) {
         co_await m_changed.waitUntil(until);
     }
-    if (m_isDown) {
+    co_await awake();
+    if (m_isDown || life != m_life) {
         co_return noAnswer();
     }
     Json running = Json::array();
@@ -343,9 +452,12 @@
     while (true) {
         co_await runtime::sleepFor(WorkTick);
         if (runtime::Clock::now() >= m_leaseUntil) {
+            // Nobody may rely on its right to run any longer, and while it is paused nothing goes on.
             lapse();
         }
-        advance(WorkTick);
+        if (!m_isPaused) {
+            advance(WorkTick);
+        }
     }
 }
 
--- a/tests/platform/soak/executor.h
+++ b/tests/platform/soak/executor.h
@@ -20,6 +20,7 @@
 
 #include "http/message.h"
 #include "http/server.h"
+#include "platform/soak/faults.h"
 #include "platform/soak/ledger.h"
 #include "runtime/signal.h"
 #include "standins/program.h"
@@ -37,6 +38,8 @@
     unsigned accelerators = 8;
     /** Turns away starts for which it has no room; otherwise it carries out any start. */
     bool isGuarding = true;
+    /** How fast its clock runs, by which its lease ends. */
+    double clockRate = 1.0;
 };
 
 class Executor;
@@ -84,6 +87,30 @@
 
     /** Its process is gone and starts anew under the same id, at once. */
     void crash();
+    /** Its process is gone until it is restarted. Planned: it has given notice. */
+    void stop(bool isPlanned);
+    /** A process that was stopped starts anew, under another id. */
+    void restart();
+    /** Counts its lives and the ends between them. */
+    [[nodiscard]] std::uint64_t life() const
+    {
+        return m_life;
+    }
+    [[nodiscard]] bool isDown() const
+    {
+        return m_isDown;
+    }
+    /** It answers nothing, and nothing goes on, until the same life of it is resumed; its clock and its lease run on. */
+    void setPaused(bool isPaused);
+    void setDraining(std::chrono::milliseconds remaining)
+    {
+        m_drainsFor = remaining;
+    }
+    asio::awaitable<void> sayGoodbye();
+    /** What another writer sends to its agent as this kind of heartbeat. */
+    asio::awaitable<void> sendForeign(FaultKind kind, unsigned variant);
+    /** The last heartbeat of its earlier life arrives as soon as the agent takes calls. */
+    asio::awaitable<void> sendEarlier();
     /** The next orders get no answer and are carried out late. */
     void answerLate(unsigned count)
     {
@@ -131,6 +158,11 @@
     http::Response startRun(const Json &wanted, bool isLate);
     http::Response stopRun(const Json &wanted);
     asio::awaitable<void> announce();
+    [[nodiscard]] Json report() const;
+    [[nodiscard]] std::string foreignReport(FaultKind kind, unsigned variant) const;
+    asio::awaitable<void> send(std::string id, std::string body);
+    /** Returns once it isn't paused. */
+    [[nodiscard]] asio::awaitable<void> awake() const;
     asio::awaitable<void> work();
     void advance(std::chrono::milliseconds step);
     void end(TaskName task, const std::string &how);
@@ -154,8 +186,13 @@
     standins::Endpoint m_agent;
     /** Counts its lives; what belongs to an earlier one has no effect. */
     std::uint64_t m_life = 0;
-    /** Crashed, and not back yet. */
+    /** Its process is gone, and not back yet. */
     bool m_isDown = false;
+    bool m_isPaused = false;
+    /** What it says is left of its time while it drains. */
+    std::optional<std::chrono::milliseconds> m_drainsFor;
+    std::string m_earlierId;
+    Json m_earlierReport;
     std::int64_t m_born = 0;
     Instant m_bornAt;
     std::uint64_t m_sequence = 0;
--- a/tests/platform/soak/faults.cpp
+++ b/tests/platform/soak/faults.cpp
@@ -14,6 +14,10 @@
 constexpr std::chrono::milliseconds Longest{3500};
 constexpr std::chrono::milliseconds ShortestRoom{6000};
 constexpr std::chrono::milliseconds LongestRoom{9000};
+/** Longer than a lease. */
+constexpr std::chrono::milliseconds LongestIncarnationFault{6000};
+/** Keeps the series from drawing the same targets as the one of the frequent kinds. */
+constexpr std::uint64_t IncarnationSeries = 0x10000;
 
 constexpr std::array<std::string_view, FaultKinds> Names{"kill entry",
                                                          "kill agent",
@@ -35,7 +39,17 @@
                                                          "executor fails all",
                                                          "policy changes",
                                                          "room changes",
-                                                         "policy grows, slow lines"};
+                                                         "policy grows, slow lines",
+                                                         "executor lost for good",
+                                                         "heartbeats under another id",
+                                                         "heartbeats of a later birth",
+                                                         "heartbeats of another service",
+                                                         "odd heartbeats",
+                                                         "heartbeat of an earlier life",
+                                                         "foreign goodbye",
+                                                         "goodbye of an earlier life",
+                                                         "executor leaves",
+                                                         "executor paused"};
 
 struct Series {
     std::uint64_t seed = 0;
@@ -74,6 +88,8 @@
     std::vector<Fault> faults;
     draw(faults, {seed, 0, FrequentFaultKinds, Shortest, Longest}, length, gap);
     draw(faults, {seed, static_cast<unsigned>(FaultKind::RoomChange), 1, ShortestRoom, LongestRoom}, length, 3 * gap);
+    const auto incarnationKinds = FaultKinds - IncarnationFaultKinds;
+    draw(faults, {seed ^ IncarnationSeries, incarnationKinds, IncarnationFaultKinds, Shortest, LongestIncarnationFault}, length, gap * 3 / 2);
     if (seed % LargePolicySeeds == 1) {
         faults.push_back({length / 4, FaultKind::LargePolicy, 0, {}});
     }
--- a/tests/platform/soak/faults.h
+++ b/tests/platform/soak/faults.h
@@ -31,10 +31,22 @@
     PolicyChange,
     RoomChange,
     LargePolicy,
+    LoseExecutor,
+    HeartbeatOfOtherId,
+    HeartbeatOfLaterBirth,
+    HeartbeatOfOtherService,
+    OddHeartbeat,
+    DelayedHeartbeat,
+    ForeignGoodbye,
+    LateGoodbye,
+    ExecutorLeaves,
+    PauseExecutor,
 };
-constexpr unsigned FaultKinds = 21;
+constexpr unsigned FaultKinds = 31;
 /** The first of them come in one series; the others are drawn apart, so that a seed's series stays as it was. */
 constexpr unsigned FrequentFaultKinds = 19;
+/** The last of them come in a series apart, too: what makes an executor look like another incarnation, or be one. */
+constexpr unsigned IncarnationFaultKinds = 10;
 /** Every so many seeds the policy grows on slow lines, from seed 1 on. Callers hear many refusals then, so that other troubles meet few jobs. */
 constexpr unsigned LargePolicySeeds = 4;
 
@@ -48,7 +60,8 @@
     std::chrono::milliseconds length{0};
 };
 
-/** As many faults as fit, a gap apart on average, and changes of room three gaps apart; the last fifth of the time is left without new ones. */
+/** As many faults as fit, a gap apart on average, changes of room three gaps apart, and troubles about incarnations one and a half; the last fifth of the time
+ * is left without new ones. */
 [[nodiscard]] std::vector<Fault> drawFaults(std::uint64_t seed, std::chrono::milliseconds length, std::chrono::milliseconds gap);
 
 } // namespace plantainfork::soak
--- a/tests/platform/soak/ledger.cpp
+++ b/tests/platform/soak/ledger.cpp
@@ -281,13 +281,27 @@
 {
     for (auto &[id, job] : m_jobs) {
         for (auto &[name, task] : job.tasks) {
-            task.crashes += task.running.erase(executor) > 0 ? 1 : 0;
-            // An end that nobody took note of is gone, and the task may run again; it may also have been heard of, and is done then.
-            task.startsSinceDone.erase(executor);
+            task.crashes += removeRuns(task, executor) > 0 ? 1 : 0;
         }
     }
 }
 
+void Ledger::left(const std::string &executor)
+{
+    for (auto &[id, job] : m_jobs) {
+        for (auto &[name, task] : job.tasks) {
+            removeRuns(task, executor);
+        }
+    }
+}
+
+unsigned Ledger::removeRuns(Task &task, const std::string &executor)
+{
+    // An end that nobody took note of is gone, and the task may run again; it may also have been heard of, and is done then.
+    task.startsSinceDone.erase(executor);
+    return static_cast<unsigned>(task.running.erase(executor));
+}
+
 std::vector<std::string> Ledger::open() const
 {
     std::vector<std::string> jobs;
--- a/tests/platform/soak/ledger.h
+++ b/tests/platform/soak/ledger.h
@@ -86,6 +86,8 @@
     void roomChanged(const std::string &executor, unsigned accelerators, Instant now);
     /** Its process is gone, with all that ran and all ends that weren't taken note of. */
     void crashed(const std::string &executor);
+    /** The same after it has given notice, which no task is to blame for. */
+    void left(const std::string &executor);
 
     /** Accepted jobs that haven't been shown as ended. */
     [[nodiscard]] std::vector<std::string> open() const;
@@ -129,6 +131,8 @@
         std::map<TaskName, Task> tasks;
     };
 
+    /** Forgets what ran there; returns how often. */
+    static unsigned removeRuns(Task &task, const std::string &executor);
     void report(const std::string &rule, const std::string &detail);
     [[nodiscard]] static bool isStepDone(const Job &job, unsigned occurrence, unsigned step);
     /** Whether a job may be shown as failed. */
--- a/tests/platform/soak/ledger_test.cpp
+++ b/tests/platform/soak/ledger_test.cpp
@@ -88,6 +88,17 @@
         history.start(First, 2, "b");
         history.ledger.noted(First, 1, "done", "a");
     }
+    SECTION("while another executor has left")
+    {
+        history.ledger.left("b");
+        history.start(First, 2, "c");
+    }
+    SECTION("after a noted end whose executor has left since")
+    {
+        history.finish(First, 1, "done");
+        history.ledger.left("a");
+        history.start(First, 2, "b");
+    }
     REQUIRE(history.breaks("twice"));
 }
 
@@ -101,6 +112,17 @@
         history.ledger.crashed("a");
         history.start(First, 2, "b");
     }
+    SECTION("left")
+    {
+        history.ledger.left("a");
+        history.start(First, 2, "b");
+    }
+    SECTION("left with an end that nobody had heard")
+    {
+        history.ledger.ended(First, 1, "done", "a");
+        history.ledger.left("a");
+        history.start(First, 2, "b");
+    }
     SECTION("lapsed with an end that nobody had heard")
     {
         history.ledger.ended(First, 1, "done", "a");
@@ -257,6 +279,13 @@
         ledger.shown(Job, "failed", runtime::Instant());
         REQUIRE(ledger.violations().empty());
     }
+    SECTION("one, and another left")
+    {
+        ledger.started({Job, 0, 0, 0}, 2, "work", "b", false, runtime::Instant());
+        ledger.left("b");
+        ledger.shown(Job, "failed", runtime::Instant());
+        REQUIRE_FALSE(ledger.violations().empty());
+    }
     SECTION("one under each of two tasks")
     {
         crashUnder(1, 1);
--- a/tests/platform/soak/site.cpp
+++ b/tests/platform/soak/site.cpp
@@ -1,5 +1,6 @@
 #include "platform/soak/site.h"
 
+#include <algorithm>
 #include <csignal>
 #include <fstream>
 #include <utility>
@@ -29,6 +30,14 @@
 constexpr std::uint64_t SlowLine = 2'000'000;
 /** 64 KiB, as much as a TCP sender without scaled windows has on its way. */
 constexpr std::size_t SlowLineWindow = 4;
+constexpr std::chrono::milliseconds AgentRestart{200};
+constexpr std::chrono::milliseconds ForeignInterval{300};
+constexpr std::chrono::milliseconds LongestStay{3000};
+constexpr std::chrono::milliseconds VacantFor{2500};
+/** Of so many hosts one may lose its executor for good, two of five. */
+constexpr unsigned HostsPerLoss = 2;
+constexpr unsigned SlowClockEvery = 3;
+constexpr double SlowClock = 0.98;
 const std::string OperatorKey = "op/config";
 
 /** A port that nothing listens on, from the given one on. */
@@ -89,6 +98,7 @@
         const std::string rack = "r1-" + std::to_string(i / HostsPerRack);
         ExecutorBounds bounds;
         bounds.isGuarding = i % 2 == 1;
+        bounds.clockRate = i % SlowClockEvery == 2 ? SlowClock : 1.0;
         host.executor = std::make_unique<Executor>(m_context.get_executor(), m_floor, "i-" + std::to_string(i), rack, bounds);
         host.link = std::make_unique<standins::Link>(m_context, std::chrono::milliseconds(0), 0);
         host.agent = makeDaemon("agent-" + std::to_string(i));
@@ -117,7 +127,7 @@
     const auto store = agent.storeLink->addRoute({"127.0.0.1", 0}, {"127.0.0.1", m_storeServer->port()}, standins::Heading::There);
     agent.http = nextAddress();
     host.executor->start(agent.http);
-    const auto executor = host.link->addRoute({"127.0.0.1", 0}, {"127.0.0.1", host.executor->port()}, standins::Heading::There);
+    const auto executor = host.link->addRoute(nextAddress(), {"127.0.0.1", host.executor->port()}, standins::Heading::There);
     std::string entries;
     for (const auto &rpc : m_entryRpc) {
         entries += (entries.empty() ? "\"" : ", \"") + rpc + "\"";
@@ -255,6 +265,93 @@
     }
 }
 
+void Site::loseExecutor(Host &host)
+{
+    const auto lost = static_cast<unsigned>(std::count_if(m_hosts.begin(), m_hosts.end(), [](const Host &other) {
+        return other.isLost;
+    }));
+    if (lost < m_hosts.size() / HostsPerLoss) {
+        host.isLost = true;
+        host.executor->stop(false);
+        host.link->setListening(false);
+    }
+}
+
+asio::awaitable<void> Site::leave(Host &host, const Fault &fault)
+{
+    Executor &executor = *host.executor;
+    const auto life = executor.life();
+    if (executor.isDown()) {
+        co_return;
+    }
+    executor.setDraining(fault.length);
+    co_await runtime::sleepFor(fault.length);
+    if (life != executor.life()) {
+        co_return;
+    }
+    co_await executor.sayGoodbye();
+    co_await runtime::sleepFor(LongestStay * (fault.target / m_hosts.size() % 4) / 3);
+    if (life != executor.life()) {
+        co_return;
+    }
+    executor.stop(true);
+    const auto ended = executor.life();
+    host.link->setListening(false);
+    co_await runtime::sleepFor(VacantFor);
+    if (ended == executor.life()) {
+        executor.restart();
+        host.link->setListening(true);
+    }
+}
+
+asio::awaitable<void> Site::pauseExecutor(Host &host, const Fault &fault)
+{
+    const auto life = host.executor->life();
+    host.executor->setPaused(true);
+    const bool isAgentRestarted = fault.target / m_hosts.size() % 2 == 1;
+    if (isAgentRestarted) {
+        asio::co_spawn(m_context, keepDown(*host.agent, SIGKILL, fault.length / 2), asio::detached);
+    }
+    co_await runtime::sleepFor(fault.length);
+    if (life == host.executor->life()) {
+        host.executor->setPaused(false);
+    }
+}
+
+asio::awaitable<void> Site::disturbIncarnation(Host &host, const Fault &fault)
+{
+    Executor &executor = *host.executor;
+    const auto variant = static_cast<unsigned>(fault.target / m_hosts.size());
+    switch (fault.kind) {
+    case FaultKind::LoseExecutor:
+        loseExecutor(host);
+        co_return;
+    case FaultKind::DelayedHeartbeat:
+        executor.crash();
+        if (variant % 2 == 1) {
+            co_await keepDown(*host.agent, SIGKILL, AgentRestart);
+        } else {
+            co_await runtime::sleepFor(fault.length);
+        }
+        co_return co_await executor.sendEarlier();
+    case FaultKind::LateGoodbye:
+        executor.crash();
+        co_await runtime::sleepFor(fault.length);
+        co_return co_await executor.sayGoodbye();
+    case FaultKind::ForeignGoodbye:
+        co_return co_await executor.sayGoodbye();
+    case FaultKind::ExecutorLeaves:
+        co_return co_await leave(host, fault);
+    case FaultKind::PauseExecutor:
+        co_return co_await pauseExecutor(host, fault);
+    default:
+        for (std::chrono::milliseconds passed(0); passed < fault.length; passed += ForeignInterval) {
+            co_await executor.sendForeign(fault.kind, variant + static_cast<unsigned>(passed / ForeignInterval));
+            co_await runtime::sleepFor(ForeignInterval);
+        }
+    }
+}
+
 asio::awaitable<void> Site::apply(Fault fault)
 {
     Daemon &entry = *m_entries[fault.target % m_entries.size()];
@@ -285,6 +382,17 @@
     case FaultKind::FailingExecutor:
     case FaultKind::RoomChange:
         co_return co_await disturbHost(host, fault);
+    case FaultKind::LoseExecutor:
+    case FaultKind::HeartbeatOfOtherId:
+    case FaultKind::HeartbeatOfLaterBirth:
+    case FaultKind::HeartbeatOfOtherService:
+    case FaultKind::OddHeartbeat:
+    case FaultKind::DelayedHeartbeat:
+    case FaultKind::ForeignGoodbye:
+    case FaultKind::LateGoodbye:
+    case FaultKind::ExecutorLeaves:
+    case FaultKind::PauseExecutor:
+        co_return co_await disturbIncarnation(host, fault);
     default:
         co_return co_await disturbStore(fault.kind, fault.length);
     }
--- a/tests/platform/soak/site.h
+++ b/tests/platform/soak/site.h
@@ -58,6 +58,7 @@
         std::unique_ptr<Executor> executor;
         std::unique_ptr<standins::Link> link;
         std::unique_ptr<Daemon> agent;
+        bool isLost = false;
     };
 
     std::unique_ptr<Daemon> makeDaemon(const std::string &name);
@@ -68,6 +69,11 @@
     asio::awaitable<void> pause(Daemon &daemon, std::chrono::milliseconds length);
     asio::awaitable<void> disturbStore(FaultKind kind, std::chrono::milliseconds length);
     asio::awaitable<void> disturbHost(Host &host, const Fault &fault);
+    asio::awaitable<void> disturbIncarnation(Host &host, const Fault &fault);
+    void loseExecutor(Host &host);
+    /** Drains it, says goodbye, ends it up to 3 s later, and has another one at its place after some seconds. */
+    asio::awaitable<void> leave(Host &host, const Fault &fault);
+    asio::awaitable<void> pauseExecutor(Host &host, const Fault &fault);
     asio::awaitable<void> cut(standins::Link &link, std::chrono::milliseconds length);
     void putPolicy();
     asio::awaitable<void> killAll(std::chrono::milliseconds length);
--- a/tests/standins/link.h
+++ b/tests/standins/link.h
@@ -102,10 +102,10 @@
     Endpoint addRoute(const Endpoint &from, const Endpoint &to, Heading heading)
     {
         const tcp::endpoint endpoint(asio::ip::make_address(from.host), from.port);
-        auto acceptor = std::make_shared<tcp::acceptor>(m_context, endpoint);
-        const Endpoint taken{from.host, acceptor->local_endpoint().port()};
+        const auto acceptor = std::make_shared<tcp::acceptor>(m_context, endpoint);
+        m_routes.push_back({acceptor, acceptor->local_endpoint(), to, heading});
         asio::co_spawn(m_context, accept(acceptor, to, heading), asio::detached);
-        return taken;
+        return {from.host, acceptor->local_endpoint().port()};
     }
 
     void setDelay(std::chrono::milliseconds delay)
@@ -129,6 +129,21 @@
             reset();
         }
     }
+    /** While it doesn't listen, connections are closed at once and new ones are refused, as when the process behind it has ended. */
+    void setListening(bool isListening)
+    {
+        for (auto &route : m_routes) {
+            if (!isListening) {
+                route.acceptor->close();
+            } else if (!route.acceptor->is_open()) {
+                route.acceptor = std::make_shared<tcp::acceptor>(m_context, route.endpoint);
+                asio::co_spawn(m_context, accept(route.acceptor, route.to, route.heading), asio::detached);
+            }
+        }
+        if (!isListening) {
+            reset();
+        }
+    }
     /** Closes all connections. */
     void reset()
     {
@@ -171,11 +186,21 @@
 
 private:
     using ConnectionPtr = std::shared_ptr<Connection>;
+    struct Route {
+        std::shared_ptr<tcp::acceptor> acceptor;
+        tcp::endpoint endpoint;
+        Endpoint to;
+        Heading heading = Heading::There;
+    };
 
     asio::awaitable<void> accept(std::shared_ptr<tcp::acceptor> acceptor, Endpoint to, Heading heading)
     {
+        boost::system::error_code error;
         while (true) {
-            tcp::socket near = co_await acceptor->async_accept(asio::use_awaitable);
+            tcp::socket near = co_await acceptor->async_accept(asio::redirect_error(asio::use_awaitable, error));
+            if (error) {
+                co_return;
+            }
             if (!m_isCut) {
                 asio::co_spawn(m_context, connect(std::move(near), to, heading), asio::detached);
             }
@@ -256,6 +281,7 @@
     std::uint64_t m_rate;
     std::size_t m_window = MaxChunksInFlight;
     bool m_isCut = false;
+    std::list<Route> m_routes;
     Pipe m_there;
     Pipe m_back;
     std::list<ConnectionPtr> m_connections;
--- a/tests/standins/program.cpp
+++ b/tests/standins/program.cpp
@@ -26,14 +26,14 @@
 constexpr std::chrono::milliseconds AnnounceRetryInterval{200};
 constexpr std::chrono::seconds CallTimeout{2};
 
-asio::awaitable<http::Exchange> exchange(const Endpoint &to, const std::string &target, const Json &body)
+asio::awaitable<http::Exchange> exchange(const Endpoint &to, const std::string &target, std::string body)
 {
     http::Client client(co_await asio::this_coro::executor, to.host, to.port, 1);
     http::Request request;
     request.method = "POST";
     request.target = target;
     request.headers = {{"Content-Type", "application/json"}};
-    request.body = body.dump();
+    request.body = std::move(body);
     co_return co_await client.send(std::move(request), runtime::Clock::now() + CallTimeout);
 }
 
@@ -142,7 +142,7 @@
             co_return;
         }
         const auto sent = runtime::Clock::now();
-        const auto result = co_await exchange(agent, "/v1/announce", *body);
+        const auto result = co_await exchange(agent, "/v1/announce", body->dump());
         std::chrono::milliseconds interval = AnnounceRetryInterval;
         if (result.response.ok() && result.response->status == 200) {
             if (answered) {
@@ -157,7 +157,12 @@
 
 asio::awaitable<unsigned> post(Endpoint to, std::string target, Json body)
 {
-    const auto result = co_await exchange(to, target, body);
+    co_return co_await postText(std::move(to), std::move(target), body.dump());
+}
+
+asio::awaitable<unsigned> postText(Endpoint to, std::string target, std::string body)
+{
+    const auto result = co_await exchange(to, target, std::move(body));
     co_return result.response.ok() ? result.response->status : 0;
 }
 
--- a/tests/standins/program.h
+++ b/tests/standins/program.h
@@ -72,5 +72,7 @@
 
 /** Sends one JSON body; the status of the answer, or 0. */
 boost::asio::awaitable<unsigned> post(Endpoint to, std::string target, Json body);
+/** The same with a body that may be anything. */
+boost::asio::awaitable<unsigned> postText(Endpoint to, std::string target, std::string body);
 
 } // namespace plantainfork::standins
