soak: Let other writers be the first that a restarted agent hears

An agent that knows its executor compares announcements with it; one that has just started can't. Every second series of foreign heartbeats begins with the agent's restart, and each is repeated until the agent listens.

--- a/tests/platform/soak/executor.cpp
+++ b/tests/platform/soak/executor.cpp
@@ -185,7 +185,7 @@
             continue;
         }
         ++m_sequence;
-        co_await send(m_id, report().dump());
+        co_await standins::post(m_agent, "/plantainfork/instances/" + m_id + "/heartbeat", report());
         co_await runtime::sleepFor(AnnounceInterval);
     }
 }
@@ -210,9 +210,13 @@
     return report;
 }
 
-asio::awaitable<void> Executor::send(std::string id, std::string body)
+asio::awaitable<void> Executor::deliver(std::string id, std::string body)
 {
-    co_await standins::postText(m_agent, "/plantainfork/instances/" + id + "/heartbeat", std::move(body));
+    const auto until = runtime::Clock::now() + AnnounceInterval;
+    const auto target = "/plantainfork/instances/" + id + "/heartbeat";
+    while (co_await standins::postText(m_agent, target, body) == 0 && runtime::Clock::now() < until) {
+        co_await runtime::sleepFor(WorkTick);
+    }
 }
 
 asio::awaitable<void> Executor::sayGoodbye()
@@ -250,17 +254,12 @@
     if (kind == FaultKind::HeartbeatOfOtherId) {
         id += "-other";
     }
-    co_await send(std::move(id), foreignReport(kind, variant));
+    co_await deliver(std::move(id), foreignReport(kind, variant));
 }
 
 asio::awaitable<void> Executor::sendEarlier()
 {
-    const auto until = runtime::Clock::now() + AnnounceInterval;
-    const auto target = "/plantainfork/instances/" + m_earlierId + "/heartbeat";
-    const auto body = m_earlierReport.dump();
-    while (co_await standins::postText(m_agent, target, body) == 0 && runtime::Clock::now() < until) {
-        co_await runtime::sleepFor(WorkTick);
-    }
+    co_await deliver(m_earlierId, m_earlierReport.dump());
 }
 
 void Executor::setPaused(bool isPaused)
--- a/tests/platform/soak/executor.h
+++ b/tests/platform/soak/executor.h
@@ -107,9 +107,9 @@
         m_drainsFor = remaining;
     }
     asio::awaitable<void> sayGoodbye();
-    /** What another writer sends to its agent as this kind of heartbeat. */
+    /** A heartbeat of another writer arrives, of this kind. */
     asio::awaitable<void> sendForeign(FaultKind kind, unsigned variant);
-    /** The last heartbeat of its earlier life arrives as soon as the agent takes calls. */
+    /** The last heartbeat of its earlier life arrives. */
     asio::awaitable<void> sendEarlier();
     /** The next orders get no answer and are carried out late. */
     void answerLate(unsigned count)
@@ -160,7 +160,8 @@
     asio::awaitable<void> announce();
     [[nodiscard]] Json report() const;
     [[nodiscard]] std::string foreignReport(FaultKind kind, unsigned variant) const;
-    asio::awaitable<void> send(std::string id, std::string body);
+    /** Sends a heartbeat once the agent takes calls. */
+    asio::awaitable<void> deliver(std::string id, std::string body);
     /** Returns once it isn't paused. */
     [[nodiscard]] asio::awaitable<void> awake() const;
     asio::awaitable<void> work();
--- a/tests/platform/soak/site.cpp
+++ b/tests/platform/soak/site.cpp
@@ -345,6 +345,9 @@
     case FaultKind::PauseExecutor:
         co_return co_await pauseExecutor(host, fault);
     default:
+        if (variant % 2 == 1) {
+            co_await keepDown(*host.agent, SIGKILL, AgentRestart);
+        }
         for (std::chrono::milliseconds passed(0); passed < fault.length; passed += ForeignInterval) {
             co_await executor.sendForeign(fault.kind, variant + static_cast<unsigned>(passed / ForeignInterval));
             co_await runtime::sleepFor(ForeignInterval);
