--- a/tests/platform/soak/site.cpp
+++ b/tests/platform/soak/site.cpp
@@ -339,7 +339,11 @@
         co_await runtime::sleepFor(fault.length);
         co_return co_await executor.sayGoodbye();
     case FaultKind::ForeignGoodbye:
-        co_return co_await executor.sayGoodbye();
+        for (std::chrono::milliseconds passed(0); passed < fault.length; passed += ForeignInterval) {
+            co_await executor.sayGoodbye();
+            co_await runtime::sleepFor(ForeignInterval);
+        }
+        co_return;
     case FaultKind::ExecutorLeaves:
         co_return co_await leave(host, fault);
     case FaultKind::PauseExecutor:
