batch: Log what a stop leaves without an answer, and why it was open

No line told which calls a drain cuts, for how long they had been open, or why a call for the number of waiting jobs waited, so the hypotheses could not be told apart. No logic is changed.

--- a/src/batch/job_request_handler.h
+++ b/src/batch/job_request_handler.h
@@ -16,6 +16,7 @@
 
 #include "batch/messages.h"
 #include "batch/model.h"
+#include "batch/open_calls.h"
 #include "batch/policy_holder.h"
 #include "batch/recent_submissions.h"
 #include "batch/records.h"
@@ -89,6 +90,7 @@
         , m_policy(policy)
         , m_metrics(metrics)
         , m_askPending(std::move(askPending))
+        , m_openCalls(metrics)
     {
     }
 
@@ -252,6 +254,11 @@
         co_return Answer{AnswerKind::Refused, {}, 0, RetryAfter, "no scheduler in office is reachable"};
     }
 
+    [[nodiscard]] OpenCalls &openCalls()
+    {
+        return m_openCalls;
+    }
+
     /** Records the latency of an answer by the workspace of the caller's key; `begin` is the arrival time of the request. */
     void recordAnswer(std::string_view call, const std::string &key, const Answer &answer, runtime::Instant begin)
     {
@@ -430,6 +437,7 @@
     PolicyHolder &m_policy;
     metrics::Registry &m_metrics;
     AskPending m_askPending;
+    OpenCalls m_openCalls;
     RecentSubmissions m_recent{RecentLife};
 };
 
--- a/src/batch/scheduler.h
+++ b/src/batch/scheduler.h
@@ -81,8 +81,10 @@
             m_term->isOver = true;
             const auto session = m_term->session;
             m_term->notifyAllHosts();
+            const auto begin = runtime::Clock::now();
             const auto ended = co_await m_store.destroySession(session, storeDeadline());
-            log::write(log::Severity::Info, "office given up", {{"status", std::string(ended.message())}});
+            const auto took = std::chrono::duration_cast<std::chrono::milliseconds>(runtime::Clock::now() - begin);
+            log::write(log::Severity::Info, "office given up", {{"status", std::string(ended.message())}, {"took_ms", std::to_string(took.count())}});
         }
     }
 
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -41,7 +41,31 @@
 using BeastRequest = beast::http::request<beast::http::string_body>;
 using BeastResponse = beast::http::response<beast::http::string_body>;
 
-/** One open connection. The socket is used only on its own strand. */
+enum class ConnectionState {
+    Idle,
+    /** The first bytes of a request have arrived, but not all. */
+    Reading,
+    /** A whole request waits for its handler. */
+    Answering,
+    Writing,
+};
+
+std::string_view stateText(ConnectionState state)
+{
+    switch (state) {
+    case ConnectionState::Idle:
+        return "idle";
+    case ConnectionState::Reading:
+        return "reading";
+    case ConnectionState::Answering:
+        return "answering";
+    case ConnectionState::Writing:
+        return "writing";
+    }
+    return "unknown";
+}
+
+/** One open connection. All but `isBusy` is used only on its own strand. */
 struct Connection {
     explicit Connection(tcp::socket connected)
         : stream(std::move(connected))
@@ -53,8 +77,29 @@
     beast::flat_buffer buffer;
     /** True from the first byte of a request until its answer is written. */
     std::atomic<bool> isBusy{false};
+    ConnectionState state = ConnectionState::Idle;
+    /** When the state began. */
+    runtime::Instant stateSince{};
+    /** Method and target of the request that is being answered. */
+    std::string request;
+
+    void enter(ConnectionState next)
+    {
+        state = next;
+        stateSince = runtime::Clock::now();
+        isBusy = next != ConnectionState::Idle;
+    }
 };
 
+/** Called on the connection's strand. */
+void logCut(const Connection &connection)
+{
+    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(runtime::Clock::now() - connection.stateSince);
+    log::write(log::Severity::Warning,
+               "connection cut",
+               {{"state", std::string(stateText(connection.state))}, {"request", connection.request}, {"age_ms", std::to_string(age.count())}});
+}
+
 Request fromBeast(BeastRequest &&message)
 {
     Request request;
@@ -198,7 +243,8 @@
     if (error) {
         co_return false;
     }
-    connection.isBusy = true;
+    connection.request.clear();
+    connection.enter(ConnectionState::Reading);
     co_await beast::http::async_read(connection.stream, connection.buffer, parser, asio::redirect_error(asio::use_awaitable, error));
     const bool isBadRequest = error && error.category() == beast::http::make_error_code(beast::http::error::bad_method).category()
         && error != beast::http::error::end_of_stream && error != beast::http::error::partial_message;
@@ -214,6 +260,8 @@
         response = refusal(error);
     } else {
         target = std::string(parser.get().target());
+        connection.request = std::string(parser.get().method_string()) + " " + target;
+        connection.enter(ConnectionState::Answering);
         response = co_await answer(fromBeast(parser.release()));
     }
     if (response.status == NoAnswer) {
@@ -223,8 +271,9 @@
     const unsigned status = response.status;
     BeastResponse message = toBeast(std::move(response), version, keepAlive);
     connection.stream.expires_after(limits.idleTimeout);
+    connection.enter(ConnectionState::Writing);
     co_await beast::http::async_write(connection.stream, message, asio::redirect_error(asio::use_awaitable, error));
-    connection.isBusy = false;
+    connection.enter(ConnectionState::Idle);
     if (error) {
         log::write(log::Severity::Info, "answer not delivered", {{"target", target}, {"status", std::to_string(status)}, {"reason", error.message()}});
     }
@@ -249,6 +298,9 @@
             asio::post(connection->stream.get_executor(), [connection, evenBusy] {
                 beast::error_code ignored;
                 const bool isIdle = !connection->isBusy && connection->stream.socket().available(ignored) == 0;
+                if (connection->isBusy && evenBusy) {
+                    logCut(*connection);
+                }
                 if (isIdle || evenBusy) {
                     connection->stream.cancel();
                 }
