--- a/tests/batch/scheduler_test.cpp
+++ b/tests/batch/scheduler_test.cpp
@@ -399,3 +399,48 @@
     term->isOver = true;
     tests::runOn(fixture.context, runtime::sleepFor(batch::SchedulerTiming::CleanupInterval + 300ms));
 }
+
+TEST_CASE("An entry that stops goes on knowing who leads")
+{
+    Fixture fixture;
+    auto &first = fixture.addEntry("e1");
+    fixture.syncUntil(first, isFromLeader);
+    auto &follower = fixture.addEntry("e2");
+    const auto deadline = runtime::Clock::now() + 60s;
+    const auto runUntilLeaderIs = [&](const Entry &entry, const wire::Address &leader) {
+        while (entry.scheduler->leader() != leader && runtime::Clock::now() < deadline) {
+            tests::runOn(fixture.context, runtime::sleepFor(2ms));
+        }
+        CHECK(entry.scheduler->leader() == leader);
+    };
+    runUntilLeaderIs(follower, first.settings.rpc);
+    // Both stop, as when entries are restarted one after the other: the leader and one that isn't in office.
+    tests::runOn(fixture.context, follower.scheduler->stop());
+    tests::runOn(fixture.context, first.scheduler->stop());
+    auto &successor = fixture.addEntry("e3");
+    fixture.syncUntil(successor, isFromLeader);
+    const auto limit = runtime::Clock::now() + 1s;
+    while ((first.scheduler->leader() != successor.settings.rpc || follower.scheduler->leader() != successor.settings.rpc) && runtime::Clock::now() < limit) {
+        tests::runOn(fixture.context, runtime::sleepFor(2ms));
+    }
+    CHECK(first.scheduler->leader() == successor.settings.rpc);
+    CHECK(follower.scheduler->leader() == successor.settings.rpc);
+    fixture.stop();
+}
+
+TEST_CASE("An entry that is asked to stop while it takes the office doesn't keep it")
+{
+    Fixture fixture;
+    auto &entry = fixture.addEntry("e1");
+    entry.store.setDelay(50ms);
+    const auto deadline = runtime::Clock::now() + 60s;
+    while (entry.store.writes() == 0 && runtime::Clock::now() < deadline) {
+        tests::runOn(fixture.context, runtime::sleepFor(2ms));
+    }
+    tests::runOn(fixture.context, entry.scheduler->stop());
+    tests::runOn(fixture.context, runtime::sleepFor(500ms));
+    CHECK_FALSE(fixture.sendSync(entry).isLeader);
+    const auto record = fixture.data->read(std::string(batch::keys::Leader), false);
+    CHECK((record.entries.empty() || record.entries.front().session.isEmpty()));
+    fixture.stop();
+}
--- a/tests/http/http_test.cpp
+++ b/tests/http/http_test.cpp
@@ -1,6 +1,9 @@
 #include <catch2/catch.hpp>
 
 #include <atomic>
+#include <memory>
+#include <optional>
+#include <string>
 #include <utility>
 
 #include <boost/asio/co_spawn.hpp>
@@ -13,6 +16,7 @@
 #include "http/client.h"
 #include "http/server.h"
 #include "runtime/thread_pool.h"
+#include "runtime/timer.h"
 #include "support/run.h"
 
 using namespace plantainfork;
@@ -31,6 +35,48 @@
     return runtime::Clock::now() + 10s;
 }
 
+boost::asio::awaitable<http::Response> echoAfter(std::chrono::milliseconds delay, http::Request request)
+{
+    co_await runtime::sleepFor(delay);
+    co_return co_await echo(std::move(request));
+}
+
+/** A server whose handler takes a while, and a caller that speaks to it byte by byte. */
+struct SlowServer {
+    explicit SlowServer(std::chrono::milliseconds delay, http::Limits limits = {})
+    {
+        auto created = http::Server::create(context.get_executor(), "127.0.0.1", 0, limits, [delay](http::Request request) {
+            return echoAfter(delay, std::move(request));
+        });
+        REQUIRE(created.ok());
+        server = std::move(*created);
+        caller.connect({boost::asio::ip::make_address("127.0.0.1"), server->port()});
+        boost::asio::async_read(caller, boost::asio::dynamic_buffer(received), [](const boost::system::error_code &, std::size_t) {});
+    }
+
+    void send(const std::string &bytes)
+    {
+        boost::asio::write(caller, boost::asio::buffer(bytes));
+    }
+    void run(std::chrono::milliseconds time)
+    {
+        context.restart();
+        context.run_for(time);
+    }
+    void startDrain(runtime::Instant deadline)
+    {
+        boost::asio::co_spawn(context, server->drain(deadline), [this](const std::exception_ptr &, std::size_t count) {
+            cut = count;
+        });
+    }
+    boost::asio::io_context context;
+    std::unique_ptr<http::Server> server;
+    boost::asio::ip::tcp::socket caller{context};
+    /** What the caller received so far. */
+    std::string received;
+    std::optional<std::size_t> cut;
+};
+
 } // namespace
 
 TEST_CASE("A request comes back with its own whole answer over a kept connection")
@@ -157,3 +203,60 @@
     REQUIRE(request.query("empty") == "");
     REQUIRE_FALSE(request.query("other"));
 }
+
+TEST_CASE("A request that is still at work when a drain ends is answered, not cut")
+{
+    SlowServer slow(5s);
+    SECTION("one that changes nothing hears that it wasn't served")
+    {
+        slow.send("GET /reading HTTP/1.1\r\nHost: a\r\n\r\n");
+        slow.run(20ms);
+        slow.startDrain(runtime::Clock::now() + 300ms);
+        slow.run(1s);
+        REQUIRE(slow.received.rfind("HTTP/1.1 503", 0) == 0);
+    }
+    SECTION("one that may have changed something hears that its end is open")
+    {
+        slow.send("POST /change HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\n{}");
+        slow.run(20ms);
+        slow.startDrain(runtime::Clock::now() + 300ms);
+        slow.run(1s);
+        REQUIRE(slow.received.rfind("HTTP/1.1 504", 0) == 0);
+    }
+    REQUIRE(slow.cut == 0U);
+}
+
+TEST_CASE("A request that arrived behind another one on its connection is answered during a drain")
+{
+    SlowServer slow(100ms);
+    slow.send("GET /first HTTP/1.1\r\nHost: a\r\n\r\n");
+    slow.run(20ms);
+    slow.startDrain(soon());
+    SECTION("read together with the first one")
+    {
+        slow.send("GET /second HTTP/1.1\r\nHost: a\r\n\r\n");
+    }
+    SECTION("in pieces")
+    {
+        slow.send("GET /second HTTP/1.1\r\n");
+        slow.run(200ms);
+        slow.send("Host: a\r\n\r\n");
+    }
+    slow.run(2s);
+    INFO(slow.received);
+    REQUIRE(slow.received.find("GET /first") != std::string::npos);
+    REQUIRE(slow.received.find("GET /second") != std::string::npos);
+}
+
+TEST_CASE("A request that begins late in a connection's idle time is read whole")
+{
+    http::Limits limits;
+    limits.idleTimeout = 300ms;
+    SlowServer slow(0ms, limits);
+    slow.run(200ms);
+    slow.send("GET /late HTTP/1.1\r\n");
+    slow.run(200ms);
+    slow.send("Host: a\r\nConnection: close\r\n\r\n");
+    slow.run(500ms);
+    REQUIRE(slow.received.rfind("HTTP/1.1 200", 0) == 0);
+}
