batch: Follow the leader until the process ends

Cause: the loop that reads the leader's record ended with the stop, though the entry goes on answering callers for seconds. Evidence: the record's calls and tokens; batch_test "An entry that stops goes on knowing who leads" and platform_test "A call for waiting jobs at a leader that stops" failed on each run before, with the leader of before the stop. The loop now runs until the process ends; a stopping entry doesn't stand for election, and an entry that isn't in office never names itself as leader.

--- a/src/batch/scheduler.h
+++ b/src/batch/scheduler.h
@@ -77,6 +77,7 @@
     {
         m_isStopping = true;
         m_wake.notify();
+        m_leader = m_leader == m_settings.rpc ? wire::Address() : m_leader;
         if (m_term) {
             m_term->isOver = true;
             const auto session = m_term->session;
@@ -266,10 +267,10 @@
         }
     }
 
+    /** Takes the office whenever it is free, and follows who has it. A stopping entry still follows: callers ask it until its process ends. */
     asio::awaitable<void> runElections([[maybe_unused]] std::shared_ptr<Scheduler> self)
     {
-        store::Index index;
-        while (!m_isStopping) {
+        while (true) {
             const auto sentAt = runtime::Clock::now();
             auto found = co_await m_store.read(std::string(keys::Leader), storeDeadline());
             if (!found.ok()) {
@@ -289,6 +290,10 @@
                 continue;
             }
             m_leader = {};
+            if (m_isStopping) {
+                co_await m_store.followPrefix(std::string(keys::Leader), found->index, SchedulerTiming::WatchWait);
+                continue;
+            }
             const auto delay = candidateDelay(answerTime, m_settings.processorShare, m_otherShares);
             co_await runtime::sleepFor(delay + runtime::uniformDelay(std::chrono::milliseconds(20)));
             if (!m_isStopping && m_policy.policy() != nullptr) {
@@ -305,14 +310,19 @@
             log::write(log::Severity::Error, "leader record unreadable", {{"reason", std::string(record.status().message())}});
             return false;
         }
+        if (record->rpc == m_settings.rpc) {
+            // This process isn't in office, or it would not be reading the record.
+            m_leader = {};
+            return record->member == m_settings.id;
+        }
         if (m_leader != record->rpc) {
             log::write(log::Severity::Info, "leader known", {{"leader", record->member.value()}, {"token", std::to_string(entry.lockIndex)}});
         }
         m_leader = record->rpc;
-        return record->member == m_settings.id && record->rpc == m_settings.rpc;
+        return false;
     }
 
-    /** The process that wrote the record is gone, since this process has its address: no need to wait until its lease expires. */
+    /** The process that wrote the record is gone, or is this one and stops: no need to wait until its lease expires. */
     asio::awaitable<void> removeStaleLeaderRecord(const store::KeyValue &entry)
     {
         store::Write row;
@@ -323,7 +333,7 @@
         rows.push_back(std::move(row));
         const auto result = co_await m_store.transact(rows, storeDeadline());
         log::write(log::Severity::Info,
-                   "leader record of the earlier process removed",
+                   m_isStopping ? "own leader record removed" : "leader record of the earlier process removed",
                    {{"token", std::to_string(entry.lockIndex)}, {"result", result.reason}});
         if (result.outcome != store::WriteOutcome::Applied) {
             co_await runtime::sleepFor(SchedulerTiming::RetryDelay);
