batch: Decline an office that is won while stopping

An entry that was told to stop between its candidacy and the store's answer took the office, renewed it until its process ended, and left agents and callers with a leader that was gone for the rest of its lease. It now ends the lease at once.

--- a/src/batch/scheduler.h
+++ b/src/batch/scheduler.h
@@ -361,6 +361,11 @@
             log::write(log::Severity::Info, "not elected", {{"reason", result.reason}, {"lease_ended", ended.ok() ? "true" : "false"}});
             co_return;
         }
+        if (m_isStopping) {
+            const auto ended = co_await m_store.destroySession(*session, storeDeadline());
+            log::write(log::Severity::Info, "election declined", {{"reason", "stopping"}, {"lease_ended", ended.ok() ? "true" : "false"}});
+            co_return;
+        }
         WorkloadBounds bounds;
         bounds.maxGrant = m_maxGrant;
         m_term = std::make_shared<Term>(m_executor, base::FencingToken(result.written.front().lockIndex), bounds, runtime::Clock::now(), m_wake);
