http: Answer what is still at work when a drain ends

Cause: the drain cancelled the connections and let the process end, though an answer was possible. At its deadline a drain now answers what has none: 503 with Retry-After if the method changes nothing, which is true then, and 504 otherwise, so that the caller asks again under the same id. A request that is read later than that never reaches its handler, and hears 503. The handler runs beside the connection, whose coroutine takes the first answer.

--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -5,7 +5,9 @@
 #include <exception>
 #include <list>
 #include <mutex>
+#include <optional>
 #include <utility>
+#include <vector>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -18,6 +20,7 @@
 #include <boost/beast/http.hpp>
 
 #include "log/log.h"
+#include "runtime/signal.h"
 #include "runtime/timer.h"
 
 namespace plantainfork::http
@@ -33,6 +36,8 @@
 constexpr std::chrono::milliseconds DrainPollInterval{5};
 /** Polls for which idle connections stay open, so that a request that is already on its way is answered. */
 constexpr unsigned DrainLingerPolls = 20;
+/** Time after a drain's deadline in which the answers to abandoned requests are written. */
+constexpr std::chrono::milliseconds FarewellTime{200};
 /** Space for the first bytes of a request; most requests fit. */
 constexpr std::size_t FirstReadBytes = 4096;
 /** Pause after an accept that failed for want of descriptors or memory. */
@@ -65,6 +70,27 @@
     return "unknown";
 }
 
+/** A request that was handed to the handler. Used only on the strand of its connection. */
+struct Call {
+    explicit Call(const asio::any_io_executor &strand)
+        : settled(strand)
+    {
+    }
+
+    /** The first answer counts: the handler's, or that of a drain which doesn't wait for it any longer. */
+    void settle(Response answer)
+    {
+        if (!response) {
+            response = std::move(answer);
+            settled.notify();
+        }
+    }
+
+    /** Nothing until the call is settled. */
+    std::optional<Response> response;
+    runtime::Signal settled;
+};
+
 /** One open connection. All but `isBusy` is used only on its own strand. */
 struct Connection {
     explicit Connection(tcp::socket connected)
@@ -82,6 +108,8 @@
     runtime::Instant stateSince{};
     /** Method and target of the request that is being answered. */
     std::string request;
+    /** Null unless a request is being answered. */
+    std::shared_ptr<Call> call;
 
     void enter(ConnectionState next)
     {
@@ -89,16 +117,14 @@
         stateSince = runtime::Clock::now();
         isBusy = next != ConnectionState::Idle;
     }
-};
 
-/** Called on the connection's strand. */
-void logCut(const Connection &connection)
-{
-    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(runtime::Clock::now() - connection.stateSince);
-    log::write(log::Severity::Warning,
-               "connection cut",
-               {{"state", std::string(stateText(connection.state))}, {"request", connection.request}, {"age_ms", std::to_string(age.count())}});
-}
+    /** Its state, for the log. */
+    [[nodiscard]] std::vector<log::Field> fields() const
+    {
+        const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(runtime::Clock::now() - stateSince);
+        return {{"state", std::string(stateText(state))}, {"request", request}, {"age_ms", std::to_string(age.count())}};
+    }
+};
 
 Request fromBeast(BeastRequest &&message)
 {
@@ -136,6 +162,29 @@
     return Response::text(400, "not an HTTP/1.1 request: " + error.message() + "\n");
 }
 
+/** The answer to a request that has had no effect. */
+Response notServedAnswer()
+{
+    Response response = Response::text(503, "this server is stopping; the request was not served\n");
+    response.headers.push_back({"Retry-After", "1"});
+    return response;
+}
+
+/** Whether a request with this method changes nothing (RFC 9110, 9.2.1), so that one without an answer can be said not to have been served. */
+bool isSafe(std::string_view method)
+{
+    return method == "GET" || method == "HEAD" || method == "OPTIONS";
+}
+
+/** The answer to a request that the handler didn't answer before the end of a drain. */
+Response abandonedAnswer(std::string_view method)
+{
+    if (!isSafe(method)) {
+        return Response::text(504, "this server is stopping; the request may have taken effect\n");
+    }
+    return notServedAnswer();
+}
+
 } // namespace
 
 struct Server::State : std::enable_shared_from_this<Server::State> {
@@ -150,16 +199,21 @@
     asio::awaitable<void> accept();
     asio::awaitable<void> serve(std::shared_ptr<Connection> connection);
     asio::awaitable<bool> serveOne(Connection &connection);
-    asio::awaitable<Response> answer(Request request);
+    asio::awaitable<Response> answer(Connection &connection, Request request);
+    asio::awaitable<void> handle(std::shared_ptr<Call> call, Request request);
     void admit(tcp::socket socket);
     void closeAcceptor();
     void closeIdle(bool evenBusy);
+    void abandonCalls();
+    [[nodiscard]] std::size_t openConnections();
 
     const asio::any_io_executor executor;
     const Limits limits;
     const Handler handler;
     tcp::acceptor acceptor;
     std::atomic<bool> isDraining{false};
+    /** The drain is over: what is read now is refused. */
+    std::atomic<bool> isClosing{false};
     std::mutex mutex;
     /** Open connections; guarded by mutex. */
     std::list<std::shared_ptr<Connection>> connections;
@@ -262,7 +316,7 @@
         target = std::string(parser.get().target());
         connection.request = std::string(parser.get().method_string()) + " " + target;
         connection.enter(ConnectionState::Answering);
-        response = co_await answer(fromBeast(parser.release()));
+        response = co_await answer(connection, fromBeast(parser.release()));
     }
     if (response.status == NoAnswer) {
         co_return false;
@@ -280,14 +334,55 @@
     co_return !error && keepAlive;
 }
 
-asio::awaitable<Response> Server::State::answer(Request request)
+/** Waits for the handler, or for a drain that gives it up; the handler goes on then, and its answer is dropped. */
+asio::awaitable<Response> Server::State::answer(Connection &connection, Request request)
+{
+    if (isClosing) {
+        co_return notServedAnswer();
+    }
+    const auto strand = connection.stream.get_executor();
+    const auto call = std::make_shared<Call>(strand);
+    connection.call = call;
+    asio::co_spawn(strand, handle(call, std::move(request)), asio::detached);
+    while (!call->response) {
+        co_await call->settled.waitUntil(runtime::Instant::max());
+    }
+    connection.call = nullptr;
+    co_return std::move(*call->response);
+}
+
+asio::awaitable<void> Server::State::handle(std::shared_ptr<Call> call, Request request)
 {
+    const auto self = shared_from_this();
+    std::string failure;
     try {
-        co_return co_await handler(std::move(request));
+        call->settle(co_await handler(std::move(request)));
+        co_return;
     } catch (const std::exception &error) {
-        log::write(log::Severity::Error, "request failed unexpectedly", {{"reason", error.what()}});
-        co_return Response::text(500, std::string("internal error: ") + error.what() + "\n");
+        failure = error.what();
     }
+    log::write(log::Severity::Error, "request failed unexpectedly", {{"reason", failure}});
+    call->settle(Response::text(500, "internal error: " + failure + "\n"));
+}
+
+/** Answers what the handlers haven't answered yet. */
+void Server::State::abandonCalls()
+{
+    const std::scoped_lock lock(mutex);
+    for (const auto &connection : connections) {
+        asio::post(connection->stream.get_executor(), [connection] {
+            if (connection->call) {
+                log::write(log::Severity::Warning, "request abandoned", connection->fields());
+                connection->call->settle(abandonedAnswer(connection->request.substr(0, connection->request.find(' '))));
+            }
+        });
+    }
+}
+
+std::size_t Server::State::openConnections()
+{
+    const std::scoped_lock lock(mutex);
+    return connections.size();
 }
 
 void Server::State::closeIdle(bool evenBusy)
@@ -299,7 +394,7 @@
                 beast::error_code ignored;
                 const bool isIdle = !connection->isBusy && connection->stream.socket().available(ignored) == 0;
                 if (connection->isBusy && evenBusy) {
-                    logCut(*connection);
+                    log::write(log::Severity::Warning, "connection cut", connection->fields());
                 }
                 if (isIdle || evenBusy) {
                     connection->stream.cancel();
@@ -356,22 +451,25 @@
     asio::post(state->acceptor.get_executor(), [state] {
         state->closeAcceptor();
     });
-    for (unsigned polls = 0;; ++polls) {
-        const bool isLate = runtime::Clock::now() >= deadline;
-        std::size_t open = 0;
-        {
-            const std::scoped_lock lock(state->mutex);
-            open = state->connections.size();
-        }
-        if (open == 0 || isLate) {
-            state->closeIdle(true);
-            co_return open;
-        }
+    const auto isEmpty = [&state] {
+        return state->openConnections() == 0;
+    };
+    for (unsigned polls = 0; !isEmpty() && runtime::Clock::now() < deadline; ++polls) {
         if (polls >= DrainLingerPolls) {
             state->closeIdle(false);
         }
         co_await runtime::sleepFor(DrainPollInterval);
     }
+    state->isClosing = true;
+    state->abandonCalls();
+    const auto farewell = runtime::Clock::now() + FarewellTime;
+    while (!isEmpty() && runtime::Clock::now() < farewell) {
+        state->closeIdle(false);
+        co_await runtime::sleepFor(DrainPollInterval);
+    }
+    const std::size_t cut = state->openConnections();
+    state->closeIdle(true);
+    co_return cut;
 }
 
 } // namespace plantainfork::http
