http: Answer requests that came behind another one during a drain

A caller that sent its next request on a kept connection before the answer to the one before was written lost it: the bytes had been read with the first request, or reset the connection unread. Cause: the first answer written during a drain closed the connection, whatever else had arrived. http_test "A request that arrived behind another one" failed on each run before, read together and in pieces. The connection now closes after the last request that is there.

--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -321,7 +321,8 @@
     if (response.status == NoAnswer) {
         co_return false;
     }
-    const bool keepAlive = wantsKeepAlive && !isDraining;
+    const bool hasMoreRequests = connection.buffer.size() > 0 || connection.stream.socket().available(error) > 0;
+    const bool keepAlive = wantsKeepAlive && (!isDraining || hasMoreRequests);
     const unsigned status = response.status;
     BeastResponse message = toBeast(std::move(response), version, keepAlive);
     connection.stream.expires_after(limits.idleTimeout);
