--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -299,6 +299,7 @@
     }
     connection.request.clear();
     connection.enter(ConnectionState::Reading);
+    connection.stream.expires_after(limits.idleTimeout);
     co_await beast::http::async_read(connection.stream, connection.buffer, parser, asio::redirect_error(asio::use_awaitable, error));
     const bool isBadRequest = error && error.category() == beast::http::make_error_code(beast::http::error::bad_method).category()
         && error != beast::http::error::end_of_stream && error != beast::http::error::partial_message;
