http: Let the peer read its last answer before closing

The server now ends its side and waits up to 200 ms for the peer to close, and reads nothing more, as what is read has to be answered.

--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -36,6 +36,8 @@
 constexpr std::chrono::milliseconds DrainPollInterval{5};
 /** Polls for which idle connections stay open, so that a request that is already on its way is answered. */
 constexpr unsigned DrainLingerPolls = 20;
+/** Time in which a peer may read its last answer and close; closing before it does would reset the connection if it had sent more. */
+constexpr std::chrono::milliseconds LingerTime{200};
 /** Time after a drain's deadline in which the answers to abandoned requests are written. */
 constexpr std::chrono::milliseconds FarewellTime{200};
 /** Space for the first bytes of a request; most requests fit. */
@@ -110,6 +112,8 @@
     std::string request;
     /** Null unless a request is being answered. */
     std::shared_ptr<Call> call;
+    /** The answer that has been written is the last one on this connection. */
+    bool hasLastAnswer = false;
 
     void enter(ConnectionState next)
     {
@@ -199,6 +203,7 @@
     asio::awaitable<void> accept();
     asio::awaitable<void> serve(std::shared_ptr<Connection> connection);
     asio::awaitable<bool> serveOne(Connection &connection);
+    asio::awaitable<void> linger(std::shared_ptr<Connection> connection);
     asio::awaitable<Response> answer(Connection &connection, Request request);
     asio::awaitable<void> handle(std::shared_ptr<Call> call, Request request);
     void admit(tcp::socket socket);
@@ -275,6 +280,9 @@
     const auto self = shared_from_this();
     try {
         while (co_await serveOne(*connection)) { }
+        if (connection->hasLastAnswer) {
+            co_await linger(connection);
+        }
     } catch (const std::exception &) {
         // The peer went away while it was being answered; there is nobody to tell.
     }
@@ -285,6 +293,26 @@
     connections.remove(connection);
 }
 
+/** Waits for the peer to close, without reading what it may still send: what is read has to be answered. */
+asio::awaitable<void> Server::State::linger(std::shared_ptr<Connection> connection)
+{
+    auto &socket = connection->stream.socket();
+    const auto until = runtime::Clock::now() + LingerTime;
+    beast::error_code error;
+    socket.shutdown(tcp::socket::shutdown_send, error);
+    runtime::Timer timer(connection->stream.get_executor(), until);
+    timer.async_wait([connection](const boost::system::error_code &cancelled) {
+        if (!cancelled) {
+            connection->stream.cancel();
+        }
+    });
+    co_await socket.async_wait(tcp::socket::wait_read, asio::redirect_error(asio::use_awaitable, error));
+    timer.cancel();
+    if (!error && socket.available(error) > 0) {
+        co_await runtime::sleepUntil(until);
+    }
+}
+
 asio::awaitable<bool> Server::State::serveOne(Connection &connection)
 {
     beast::http::request_parser<beast::http::string_body> parser;
@@ -336,6 +364,7 @@
     if (error) {
         log::write(log::Severity::Info, "answer not delivered", {{"target", target}, {"status", std::to_string(status)}, {"reason", error.message()}});
     }
+    connection.hasLastAnswer = !error && !keepAlive;
     co_return !error && keepAlive;
 }
 
--- a/tests/http/http_test.cpp
+++ b/tests/http/http_test.cpp
@@ -271,3 +271,24 @@
     }
     REQUIRE(slow.received.rfind("HTTP/1.1 200", 0) == 0);
 }
+
+TEST_CASE("An answer arrives whole though its caller sends more while it is written")
+{
+    namespace asio = boost::asio;
+    const std::string body(1'000'000, 'x');
+    SlowServer slow(0ms);
+    asio::ip::tcp::socket caller(slow.context);
+    caller.open(asio::ip::tcp::v4());
+    // The answer waits in the server's buffers until the caller reads.
+    caller.set_option(asio::socket_base::receive_buffer_size(4096));
+    caller.connect({asio::ip::make_address("127.0.0.1"), slow.server->port()});
+    const std::string request = "POST /large HTTP/1.1\r\nHost: a\r\nConnection: close\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    asio::async_write(caller, asio::buffer(request), [](const boost::system::error_code &, std::size_t) {});
+    slow.run(50ms);
+    asio::write(caller, asio::buffer(std::string("GET /second HTTP/1.1\r\n")));
+    std::string received;
+    asio::async_read(caller, asio::dynamic_buffer(received), [](const boost::system::error_code &, std::size_t) {});
+    slow.run(3s);
+    INFO(received.size() << " bytes");
+    REQUIRE(received.size() > body.size());
+}
