platform: End a stop within its limit, with all calls answered

Cause: the parts of a stop had times of their own, one after the other, and no request knew of them.

--- a/src/batch/job_request_handler.h
+++ b/src/batch/job_request_handler.h
@@ -94,12 +94,18 @@
     {
     }
 
+    /** Limits the time of all requests, those under way included, as if each of their callers stopped waiting then. */
+    void answerBy(runtime::Instant limit)
+    {
+        m_answerBy = limit;
+    }
+
     asio::awaitable<Answer> submit(Caller caller, base::JobId id, Submission submission)
     {
         std::string reason = "too little time left";
         // This request itself may have recorded the job.
         bool hasWritten = false;
-        const auto settleUntil = std::min<runtime::Instant>(runtime::Clock::now() + SettleTime, caller.deadline - ReplyMargin);
+        const auto settleUntil = std::min<runtime::Instant>(runtime::Clock::now() + SettleTime, deadlineOf(caller) - ReplyMargin);
         while (hasTime(caller)) {
             if (m_recent.mayBeRecorded(id, runtime::Clock::now())) {
                 co_await waitForConfirmation(settleUntil);
@@ -301,19 +307,23 @@
         }
     }
 
-    static bool hasTime(const Caller &caller)
+    [[nodiscard]] runtime::Instant deadlineOf(const Caller &caller) const
+    {
+        return std::min(caller.deadline, m_answerBy);
+    }
+    [[nodiscard]] bool hasTime(const Caller &caller) const
     {
-        return runtime::Clock::now() + ReplyMargin < caller.deadline;
+        return runtime::Clock::now() + ReplyMargin < deadlineOf(caller);
     }
-    static runtime::Instant storeDeadlineFor(const Caller &caller)
+    [[nodiscard]] runtime::Instant storeDeadlineFor(const Caller &caller) const
     {
-        return std::min(caller.deadline - ReplyMargin, runtime::Clock::now() + StoreCallTimeout);
+        return std::min<runtime::Instant>(deadlineOf(caller) - ReplyMargin, runtime::Clock::now() + StoreCallTimeout);
     }
 
     /** Limits of a read of values that may be large: one that was cut off would begin again from its start. */
-    static store::ReadLimits readLimitsFor(const Caller &caller)
+    [[nodiscard]] store::ReadLimits readLimitsFor(const Caller &caller) const
     {
-        return {caller.deadline - ReplyMargin, StoreCallTimeout};
+        return {deadlineOf(caller) - ReplyMargin, StoreCallTimeout};
     }
 
     /** The answer to a caller that must not be served, if any. With a policy that may be outdated, callers are told to retry. */
@@ -438,6 +448,8 @@
     metrics::Registry &m_metrics;
     AskPending m_askPending;
     OpenCalls m_openCalls;
+    /** Time by which this entry has to answer, since it stops then. */
+    runtime::Instant m_answerBy = runtime::Instant::max();
     RecentSubmissions m_recent{RecentLife};
 };
 
