--- a/tests/platform/agent_fixture.h
+++ b/tests/platform/agent_fixture.h
@@ -7,7 +7,9 @@
 #include <utility>
 #include <vector>
 
+#include <boost/asio/co_spawn.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
 
@@ -110,6 +112,24 @@
         runOn(context, m_executorServer->drain(runtime::Clock::now() + 5s));
     }
 
+    /** A connection to the agent as its executor has it. */
+    boost::asio::ip::tcp::socket connect()
+    {
+        boost::asio::ip::tcp::socket socket(context);
+        socket.connect({boost::asio::ip::make_address(m_settings.http.host), m_settings.http.port});
+        return socket;
+    }
+
+    /** Returns a flag that is set when the stop has ended. */
+    std::shared_ptr<bool> startStop()
+    {
+        auto hasEnded = std::make_shared<bool>(false);
+        boost::asio::co_spawn(context, m_agent->stop(), [hasEnded](const std::exception_ptr &) {
+            *hasEnded = true;
+        });
+        return hasEnded;
+    }
+
     void runFor(std::chrono::milliseconds time)
     {
         runOn(context, runtime::sleepFor(time));
--- a/tests/platform/agent_test.cpp
+++ b/tests/platform/agent_test.cpp
@@ -1,6 +1,9 @@
 /** Which heartbeats and goodbyes an agent takes for those of its executor. */
 #include <catch2/catch.hpp>
 
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+
 #include "platform/agent_fixture.h"
 
 using namespace plantainfork;
@@ -164,3 +167,26 @@
     });
     REQUIRE_FALSE(agent.calls.back().report.hasLeft);
 }
+
+TEST_CASE("An agent that stops answers the heartbeat that it is reading")
+{
+    PlatformAgentFixture agent;
+    announceExecutor(agent);
+    auto executor = agent.connect();
+    const std::string body = agent.heartbeat(2).dump();
+    boost::asio::write(
+        executor,
+        boost::asio::buffer("POST /plantainfork/instances/i-1/heartbeat HTTP/1.1\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n"));
+    agent.runFor(20ms);
+    const auto hasStopped = agent.startStop();
+    agent.runFor(20ms);
+    CHECK_FALSE(*hasStopped);
+    boost::asio::write(executor, boost::asio::buffer(body));
+    agent.runUntil([&] {
+        return *hasStopped;
+    });
+    std::string received;
+    boost::system::error_code ended;
+    boost::asio::read(executor, boost::asio::dynamic_buffer(received), ended);
+    CHECK(received.rfind("HTTP/1.1 200", 0) == 0);
+}
