--- a/src/batch/settings.cpp
+++ b/src/batch/settings.cpp
@@ -36,6 +36,7 @@
 
 constexpr Range PortRange{1, 65'535};
 constexpr Range KeepEndedRange{1, 86'400};
+constexpr double MaxDrainLimitSeconds = 3600;
 constexpr double MinRemoteFactor = 1.0;
 constexpr double MaxRemoteFactor = 100.0;
 constexpr double MinProcessorShare = 0.001;
@@ -118,6 +119,9 @@
     if (const auto value = reader.integer("keep_ended_s", KeepEndedRange)) {
         settings.keepEnded = std::chrono::seconds(*value);
     }
+    if (const auto value = reader.number("drain_limit_s", 0.0, MaxDrainLimitSeconds)) {
+        settings.drainLimit = std::chrono::round<std::chrono::milliseconds>(std::chrono::duration<double>(*value));
+    }
     settings.remoteFactor = reader.number("remote_factor", MinRemoteFactor, MaxRemoteFactor).value_or(settings.remoteFactor);
     settings.processorShare = reader.number("processor_share", MinProcessorShare, 1.0).value_or(settings.processorShare);
     reader.reportUnknownKeys();
--- a/tests/batch/settings_test.cpp
+++ b/tests/batch/settings_test.cpp
@@ -57,3 +57,15 @@
     REQUIRE(text.find("remote_factor must be from 1 to 100") != std::string::npos);
     REQUIRE(text.find("processor_share must be a number") != std::string::npos);
 }
+
+TEST_CASE("The limit of a graceful stop is given in milliseconds or in seconds")
+{
+    const auto milliseconds = batch::parseSettings(Valid + "drain_limit_ms = 4500\n", "node.toml");
+    REQUIRE(std::holds_alternative<batch::Settings>(milliseconds));
+    CHECK(std::get<batch::Settings>(milliseconds).drainLimit == std::chrono::milliseconds(4500));
+    for (const auto &[text, expected] : {std::pair("6", 6000), std::pair("2.5", 2500)}) {
+        const auto seconds = batch::parseSettings(Valid + "drain_limit_ms = 4500\ndrain_limit_s = " + text + "\n", "node.toml");
+        REQUIRE(std::holds_alternative<batch::Settings>(seconds));
+        CHECK(std::get<batch::Settings>(seconds).drainLimit == std::chrono::milliseconds(expected));
+    }
+}
