platform, batch: Name callers' requests in the log lines about them

Callers saw requests for the number of waiting jobs fail around a stop, and named them by the id that they send in a header. No log line of ours had it: such a request has no job, so on-call could only go by entry and time.

The adapter now reads the id, at most 64 visible ASCII characters, so that a hostile one can't break a line or make it long. It goes as `request=` into each line that an entry writes about a request: job accepted, refused, unclear and cancelled, cancel unclear, state not read, request refused, key unknown, answer late and call cut. A request for waiting jobs that is refused leaves a line of its own, `count refused`, with the leader that was asked last, the reason and the time taken; answered reads still leave none.

The tests look at the lines themselves. They could not be built before, as neither the field nor the line was there; no run of theirs on the earlier code exists. CapturedLog moved from log_test to tests/support for them.

--- a/src/batch/job_request_handler.h
+++ b/src/batch/job_request_handler.h
@@ -30,13 +30,15 @@
 
 namespace asio = boost::asio;
 
-/** Addressing, key and deadline of a request. */
+/** Addressing, key, deadline and name of a request. */
 struct Caller {
     std::string host;
     std::string path;
     std::string key;
     /** Time at which the caller stops waiting. */
     runtime::Instant deadline;
+    /** The caller's name of the request, for log lines; empty if it gave none. Repeats may have the same. */
+    std::string requestId;
 };
 
 enum class AnswerKind {
@@ -64,6 +66,15 @@
 
 [[nodiscard]] std::string_view answerText(AnswerKind kind);
 
+/** What came of asking the leader for the numbers of waiting jobs. */
+struct PendingResult {
+    std::optional<PendingReply> reply;
+    /** Address of the leader that was asked; empty if none is known. */
+    std::string leader;
+    /** Why there is no reply; empty if there is one. */
+    std::string failure;
+};
+
 /** The part of a JobSpec that the caller gives; the rest comes from the queue. */
 struct Submission {
     std::string payload;
@@ -83,7 +94,7 @@
 class JobRequestHandler
 {
 public:
-    using AskPending = std::function<asio::awaitable<std::optional<PendingReply>>()>;
+    using AskPending = std::function<asio::awaitable<PendingResult>()>;
 
     JobRequestHandler(Store &store, PolicyHolder &policy, metrics::Registry &metrics, AskPending askPending)
         : m_store(store)
@@ -246,17 +257,21 @@
             co_return *refusal;
         }
         const QueueId queue = matchQueue(*m_policy.policy(), caller.host, caller.path)->id;
+        const auto begin = runtime::Clock::now();
+        PendingResult result{std::nullopt, "", "too little time left"};
         while (hasTime(caller)) {
-            const auto reply = co_await m_askPending();
-            if (reply) {
+            result = co_await m_askPending();
+            if (result.reply) {
+                const PendingReply &reply = *result.reply;
                 Answer answer{AnswerKind::Count, {}, 0, {}, ""};
-                for (std::size_t i = 0; i < reply->queues.size() && i < reply->counts.size(); ++i) {
-                    answer.count += reply->queues[i] == queue ? reply->counts[i] : 0;
+                for (std::size_t i = 0; i < reply.queues.size() && i < reply.counts.size(); ++i) {
+                    answer.count += reply.queues[i] == queue ? reply.counts[i] : 0;
                 }
                 co_return answer;
             }
             co_await runtime::sleepFor(RetryDelay);
         }
+        logCountRefused(caller, result, begin);
         co_return Answer{AnswerKind::Refused, {}, 0, RetryAfter, "no scheduler in office is reachable"};
     }
 
@@ -332,7 +347,9 @@
         const auto now = runtime::Clock::now();
         if (!m_policy.isCurrent(now)) {
             const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(m_policy.age(now));
-            log::write(log::Severity::Info, "request refused", {{"job", id}, {"reason", "policy not confirmed"}, {"age_ms", std::to_string(age.count())}});
+            log::write(log::Severity::Info,
+                       "request refused",
+                       {{"request", caller.requestId}, {"job", id}, {"reason", "policy not confirmed"}, {"age_ms", std::to_string(age.count())}});
             return Answer{AnswerKind::Refused, {}, 0, RetryAfter, "policy not confirmed"};
         }
         const auto policy = m_policy.policy();
@@ -341,7 +358,7 @@
             return Answer{AnswerKind::NoSuchQueue, {}, 0, {}, "no queue for " + caller.host + caller.path};
         }
         if (!queue->isPublic && !policy->keys.contains(caller.key)) {
-            log::write(log::Severity::Info, "key unknown", {{"job", id}, {"version", std::to_string(policy->version)}});
+            log::write(log::Severity::Info, "key unknown", {{"request", caller.requestId}, {"job", id}, {"version", std::to_string(policy->version)}});
             return Answer{AnswerKind::UnknownKey, {}, 0, {}, "unknown key"};
         }
         return std::nullopt;
@@ -440,7 +457,29 @@
         const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(caller.deadline - runtime::Clock::now());
         log::write(log::Severity::Info,
                    event,
-                   {{"job", id.value()}, {"path", caller.path}, {"version", std::to_string(version)}, {"left_ms", std::to_string(left.count())}, {"why", why}});
+                   {{"request", caller.requestId},
+                    {"job", id.value()},
+                    {"path", caller.path},
+                    {"version", std::to_string(version)},
+                    {"left_ms", std::to_string(left.count())},
+                    {"why", why}});
+    }
+
+    void logCountRefused(const Caller &caller, const PendingResult &result, runtime::Instant begin) const
+    {
+        const auto now = runtime::Clock::now();
+        const auto milliseconds = [](runtime::Clock::duration duration) {
+            return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+        };
+        log::write(log::Severity::Info,
+                   "count refused",
+                   {{"request", caller.requestId},
+                    {"path", caller.path},
+                    {"leader", result.leader},
+                    {"reason", result.failure},
+                    {"took_ms", milliseconds(now - begin)},
+                    {"left_ms", milliseconds(caller.deadline - now)},
+                    {"stopping", m_answerBy < runtime::Instant::max() ? "true" : "false"}});
     }
 
     Store &m_store;
--- a/src/batch/open_calls.h
+++ b/src/batch/open_calls.h
@@ -20,6 +20,7 @@
 public:
     struct Call {
         std::string_view kind;
+        std::string requestId;
         std::string path;
         runtime::Instant begin;
         /** Time at which the caller stops waiting. */
@@ -68,7 +69,8 @@
         for (const auto &call : m_calls) {
             log::write(log::Severity::Warning,
                        event,
-                       {{"call", std::string(call.kind)},
+                       {{"request", call.requestId},
+                        {"call", std::string(call.kind)},
                         {"path", call.path},
                         {"age_ms", milliseconds(now - call.begin)},
                         {"left_ms", milliseconds(call.deadline - now)}});
--- a/tests/batch/job_request_handler_test.cpp
+++ b/tests/batch/job_request_handler_test.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include "batch/job_request_handler.h"
+#include "support/captured_log.h"
 #include "support/memory_store.h"
 #include "support/run.h"
 
@@ -18,8 +19,8 @@
     Fixture()
         : store(data)
         , policy(context.get_executor(), 4s)
-        , handler(store, policy, metrics, []() -> boost::asio::awaitable<std::optional<batch::PendingReply>> {
-            co_return std::nullopt;
+        , handler(store, policy, metrics, []() -> boost::asio::awaitable<batch::PendingResult> {
+            co_return batch::PendingResult{std::nullopt, "127.0.0.1:1", "not in office"};
         })
     {
         storePolicy(1);
@@ -68,9 +69,13 @@
     {
         return tests::runOn(context, handler.cancel(caller("key"), base::JobId(id)));
     }
+    batch::Answer askPending(const std::string &key = "key")
+    {
+        return tests::runOn(context, handler.pending(caller(key)));
+    }
     static batch::Caller caller(const std::string &key)
     {
-        return {"h.example", "/q/0123456789abcdef", key, runtime::Clock::now() + 600ms};
+        return {"h.example", "/q/0123456789abcdef", key, runtime::Clock::now() + 600ms, "r1"};
     }
 
     boost::asio::io_context context;
@@ -82,6 +87,11 @@
     batch::JobRequestHandler<tests::MemoryStore> handler;
 };
 
+bool has(const std::string &text, const std::string &part)
+{
+    return text.find(part) != std::string::npos;
+}
+
 } // namespace
 
 TEST_CASE("A job is accepted once, and a repeat under its id is the same job")
@@ -172,3 +182,72 @@
     submission.occurrences = 101;
     REQUIRE_FALSE(batch::findSubmissionError(submission).empty());
 }
+
+TEST_CASE("A refused request for waiting jobs leaves a line that names it and the leader that was asked")
+{
+    Fixture fixture;
+    const tests::CapturedLog captured;
+    REQUIRE(fixture.askPending().kind == batch::AnswerKind::Refused);
+    INFO(captured.text());
+    CHECK(has(captured.text(), "event=\"count refused\" request=r1 path=/q/0123456789abcdef leader=127.0.0.1:1 reason=\"not in office\" took_ms="));
+    CHECK(has(captured.text(), "stopping=false"));
+}
+
+TEST_CASE("A request for waiting jobs that a stop refuses is told from others")
+{
+    Fixture fixture;
+    fixture.handler.answerBy(runtime::Clock::now());
+    const tests::CapturedLog captured;
+    REQUIRE(fixture.askPending().kind == batch::AnswerKind::Refused);
+    INFO(captured.text());
+    CHECK(has(captured.text(), "event=\"count refused\" request=r1"));
+    CHECK(has(captured.text(), "reason=\"too little time left\""));
+    CHECK(has(captured.text(), "stopping=true"));
+}
+
+TEST_CASE("Each line about a caller's request names the request")
+{
+    Fixture fixture;
+    const tests::CapturedLog captured;
+    SECTION("accepted")
+    {
+        REQUIRE(fixture.submit("a").kind == batch::AnswerKind::Accepted);
+        CHECK(has(captured.text(), "event=\"job accepted\" request=r1 job=a"));
+    }
+    SECTION("cancelled")
+    {
+        REQUIRE(fixture.submit("a").kind == batch::AnswerKind::Accepted);
+        REQUIRE(fixture.cancel("a").kind == batch::AnswerKind::Cancelled);
+        CHECK(has(captured.text(), "event=\"job cancelled\" request=r1 job=a"));
+    }
+    SECTION("refused, cancelled unclearly or not read, as the store can't be reached")
+    {
+        fixture.store.setDown(true);
+        REQUIRE(fixture.submit("a").kind == batch::AnswerKind::Refused);
+        REQUIRE(fixture.cancel("a").kind == batch::AnswerKind::Unclear);
+        REQUIRE(fixture.status("a").kind == batch::AnswerKind::Refused);
+        CHECK(has(captured.text(), "event=\"job refused\" request=r1 job=a"));
+        CHECK(has(captured.text(), "event=\"cancel unclear\" request=r1 job=a"));
+        CHECK(has(captured.text(), "event=\"state not read\" request=r1 job=a"));
+    }
+    SECTION("unclear")
+    {
+        fixture.store.loseAnswers(100);
+        REQUIRE(fixture.submit("a").kind == batch::AnswerKind::Unclear);
+        CHECK(has(captured.text(), "event=\"job unclear\" request=r1 job=a"));
+    }
+    SECTION("under an unknown key")
+    {
+        REQUIRE(fixture.askPending("other").kind == batch::AnswerKind::UnknownKey);
+        CHECK(has(captured.text(), "event=\"key unknown\" request=r1"));
+    }
+    SECTION("without a confirmed policy")
+    {
+        runtime::Clock::pause();
+        runtime::Clock::advance(5s);
+        REQUIRE(fixture.askPending().kind == batch::AnswerKind::Refused);
+        runtime::Clock::resume();
+        CHECK(has(captured.text(), "event=\"request refused\" request=r1"));
+    }
+    INFO(captured.text());
+}
--- a/tests/batch/refused_though_recorded_test.cpp
+++ b/tests/batch/refused_though_recorded_test.cpp
@@ -36,8 +36,8 @@
                       return std::vector<wire::Address>{{"127.0.0.1", server->port()}};
                   })
         , policy(context.get_executor(), ConfirmationLifetime)
-        , handler(relayed, policy, metrics, []() -> boost::asio::awaitable<std::optional<batch::PendingReply>> {
-            co_return std::nullopt;
+        , handler(relayed, policy, metrics, []() -> boost::asio::awaitable<batch::PendingResult> {
+            co_return batch::PendingResult{std::nullopt, "", "not asked"};
         })
     {
         rpc::handleCall<batch::RelayCall>(*server, [this](batch::RelayCall call) {
@@ -87,12 +87,12 @@
         batch::Submission submission;
         submission.payload = "text";
         submission.steps.emplace_back();
-        return tests::runOn(context, handler.submit({"h.example", "/q/" + id, key, runtime::Clock::now() + patience}, base::JobId(id), submission));
+        return tests::runOn(context, handler.submit({"h.example", "/q/" + id, key, runtime::Clock::now() + patience, "r1"}, base::JobId(id), submission));
     }
 
     batch::Answer cancel(const std::string &id, std::chrono::milliseconds patience, const std::string &key = "")
     {
-        return tests::runOn(context, handler.cancel({"h.example", "/q/" + id, key, runtime::Clock::now() + patience}, base::JobId(id)));
+        return tests::runOn(context, handler.cancel({"h.example", "/q/" + id, key, runtime::Clock::now() + patience, "r1"}, base::JobId(id)));
     }
 
     static constexpr std::chrono::milliseconds ConfirmationLifetime{4300};
--- a/tests/log/log_test.cpp
+++ b/tests/log/log_test.cpp
@@ -1,45 +1,13 @@
 #include <catch2/catch.hpp>
 
-#include <iostream>
-#include <sstream>
-
 #include "log/budget.h"
 #include "log/line.h"
 #include "log/log.h"
 #include "runtime/clock.h"
+#include "support/captured_log.h"
 
 using namespace plantainfork;
 
-namespace
-{
-
-/** Catches what is written to standard output's stream while it lives. */
-class CapturedLog
-{
-public:
-    CapturedLog()
-        : m_original(std::cout.rdbuf(m_text.rdbuf()))
-    {
-    }
-    ~CapturedLog()
-    {
-        std::cout.rdbuf(m_original);
-    }
-    CapturedLog(const CapturedLog &) = delete;
-    CapturedLog &operator=(const CapturedLog &) = delete;
-
-    [[nodiscard]] std::string text() const
-    {
-        return m_text.str();
-    }
-
-private:
-    std::ostringstream m_text;
-    std::streambuf *m_original;
-};
-
-} // namespace
-
 TEST_CASE("A line carries severity, event, common fields and its own")
 {
     REQUIRE(log::formatLine(log::Severity::Info, "member joined", {{"role", "entry"}}, {{"member", "agent-1"}})
@@ -57,7 +25,7 @@
 
 TEST_CASE("Lines below the configured severity aren't written")
 {
-    CapturedLog captured;
+    tests::CapturedLog captured;
     log::configure(log::Severity::Warning, {{"member", "agent-1"}});
     log::write(log::Severity::Info, "quiet");
     log::write(log::Severity::Error, "loud", {{"cause", "test"}});
@@ -89,7 +57,7 @@
 
 TEST_CASE("What was left out is told with the next line")
 {
-    CapturedLog captured;
+    tests::CapturedLog captured;
     runtime::Clock::pause();
     log::configure(log::Severity::Info, {});
     for (int i = 0; i < 700; ++i) {
--- a/tests/platform/callers_test.cpp
+++ b/tests/platform/callers_test.cpp
@@ -1,6 +1,9 @@
 /** Callers' requests and the answers that they get. */
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+
+#include "log/line.h"
 #include "platform/callers.h"
 
 using namespace plantainfork;
@@ -18,6 +21,14 @@
     return request;
 }
 
+/** What a request under that id is called in log lines. */
+std::string requestIdOf(const std::string &id)
+{
+    http::Request named = request("GET", "/lohu930/");
+    named.headers.push_back({"Request-Id", id});
+    return platform::decodeRequest(named, runtime::Clock::now()).caller.requestId;
+}
+
 } // namespace
 
 TEST_CASE("Method and path say what a caller asks for")
@@ -34,6 +45,26 @@
     REQUIRE(platform::decodeRequest(request("POST", "/lohu930/"), now).kind == platform::CallerRequest::Kind::Unknown);
 }
 
+TEST_CASE("A request is named by its caller's id, if there is one")
+{
+    REQUIRE(requestIdOf("d40e7a65e39c7178") == "d40e7a65e39c7178");
+    REQUIRE(requestIdOf("").empty());
+    REQUIRE(platform::decodeRequest(request("GET", "/lohu930/"), runtime::Clock::now()).caller.requestId.empty());
+}
+
+TEST_CASE("A hostile id of a request can't break a log line")
+{
+    REQUIRE(requestIdOf("a\r\nseverity=error\tb c") == "a??severity=error?b?c");
+    REQUIRE(requestIdOf(std::string("\x00\x01\x7f\x80\xff", 5)) == "?????");
+    REQUIRE(requestIdOf(std::string(10'000, 'x')) == std::string(64, 'x'));
+    const std::string quotes(10'000, '"');
+    const std::string line = log::formatLine(log::Severity::Info, "x", {}, {{"request", requestIdOf(quotes + "\n" + quotes)}, {"job", "a"}});
+    INFO(line);
+    REQUIRE(line.size() < 200);
+    REQUIRE(std::count(line.begin(), line.end(), '\n') == 0);
+    REQUIRE(line.substr(line.size() - 7) == "\" job=a");
+}
+
 TEST_CASE("A refusal says when to come back, and an unclear end isn't told as one")
 {
     batch::Answer answer;
--- a/tests/platform/policy_feed_test.cpp
+++ b/tests/platform/policy_feed_test.cpp
@@ -125,12 +125,9 @@
 {
     PolicyOverSlowLine entry(10'000'000);
     entry.setQueue();
-    batch::JobRequestHandler<RelayedStore> handler(entry.relayed,
-                                                   entry.holder,
-                                                   entry.metrics,
-                                                   []() -> boost::asio::awaitable<std::optional<batch::PendingReply>> {
-                                                       co_return std::nullopt;
-                                                   });
+    batch::JobRequestHandler<RelayedStore> handler(entry.relayed, entry.holder, entry.metrics, []() -> boost::asio::awaitable<batch::PendingResult> {
+        co_return batch::PendingResult{std::nullopt, "", "not asked"};
+    });
     batch::JobSpec spec;
     spec.id = base::JobId("large");
     spec.steps.resize(1);
@@ -155,7 +152,7 @@
         entry.store.put(batch::keys::state(spec.id), value);
     }
     entry.store.put(batch::keys::job(spec.id, batch::keys::JobPart::Spec), wire::encode(spec));
-    const batch::Caller caller{"h.example", "/queue/large", "", runtime::Clock::now() + 3s};
+    const batch::Caller caller{"h.example", "/queue/large", "", runtime::Clock::now() + 3s, "r1"};
     const auto answer = tests::runOn(entry.context, handler.status(caller, spec.id));
     REQUIRE(answer.kind == batch::AnswerKind::State);
 }
