http: Call the request line in log lines by its name

`request abandoned` and `connection cut` had the method and path of the request as `request=`, the field that now holds the id that callers give to a request at an entry. They say `request_line=` from here on.

--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -126,7 +126,7 @@
     [[nodiscard]] std::vector<log::Field> fields() const
     {
         const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(runtime::Clock::now() - stateSince);
-        return {{"state", std::string(stateText(state))}, {"request", request}, {"age_ms", std::to_string(age.count())}};
+        return {{"state", std::string(stateText(state))}, {"request_line", request}, {"age_ms", std::to_string(age.count())}};
     }
 };
 
