explain, ctl: Tell from logs what became of a caller's request

On-call could not go from a failed request for the number of waiting jobs to its cause, as it has no job. `plantainfork explain` now takes a request's id as well: if no line is about a job of that id, it gathers the lines with `request=ID`, and around them what its entry believed: its stop, who leads, whether waiting jobs can be counted, the policy. It says whether the request was refused (by which leader's silence, or as the policy was not confirmed), answered too late or still at work at the end of a drain, how long the entry had been stopping by then, and which job to go on with.

The logs of the tests come from real processes and the soak's store. requests.log: two entries; a job is submitted, the leader is paused while the other is asked with 300 ms of patience, the store is silent for 6 s, one entry is killed and the other stopped while it is asked for a number. cut.log: a stopped entry of a trial build in which requests don't learn of the end of a stop; there the drain answers 503 in the place of the request.

--- a/src/explain/timeline.cpp
+++ b/src/explain/timeline.cpp
@@ -14,12 +14,15 @@
 namespace
 {
 
-/** How long before a job's first line a change of belief may still have decided about it: the longest lease of what runs. */
+/** How long before the first line a change of belief may still have decided about it: the longest lease of what runs. */
 constexpr std::chrono::seconds Before{10};
 
 /** How long after a job's last line the hosts on which runs were lost are followed: a run that lives on ends with the longest lease. */
 constexpr std::chrono::seconds AfterLoss{10};
 
+/** How long after a request's last line its entry is followed: a drain tells what it cut before it tells that it ended. */
+constexpr std::chrono::seconds AfterCut{1};
+
 /** Steps of a job's life in the order in which one causes the next. */
 constexpr std::array<std::string_view, 7> Stages{"job accepted", "job known", "unit placed", "run started", "unit stopping", "run ended", "job ended"};
 
@@ -60,6 +63,18 @@
                                                       "connection rejected",
                                                       "daemon starting"};
 
+/** An entry's stop, and whom it takes for the leader: these concern the requests that it had open. */
+constexpr std::array<std::string_view, 7> EntryBeliefs{"daemon stopping",
+                                                       "entry drained",
+                                                       "daemon stopped",
+                                                       "leader known",
+                                                       "leader unknown",
+                                                       "waiting jobs not counted",
+                                                       "waiting jobs counted again"};
+
+/** What a drain did to requests that were open; these lines have no id of a request. */
+constexpr std::array<std::string_view, 2> DrainEvents{"request abandoned", "connection cut"};
+
 /** What the scheduler believes about a host: these concern the jobs that ran there. */
 constexpr std::array<std::string_view, 5> HostBeliefs{"host draining",
                                                       "host suspended",
@@ -99,6 +114,14 @@
     return target.substr(target.rfind('/') + 1);
 }
 
+/** The path of the request on the connection that a line is about. */
+std::string pathOnConnection(const LogLine &line)
+{
+    const std::string &text = line.field("request_line");
+    const std::string target = text.substr(std::min(text.find(' ') + 1, text.size()));
+    return target.substr(0, target.find('?'));
+}
+
 bool isUnconfirmed(const LogLine &line)
 {
     return line.event == "request refused" && line.field("reason") == "policy not confirmed";
@@ -190,22 +213,29 @@
 
 } // namespace
 
-Timeline gather(const std::vector<LogLine> &lines, const std::string &job)
+Timeline gather(const std::vector<LogLine> &lines, const std::string &id)
 {
-    Timeline timeline{job, {}};
+    const bool isJob = std::any_of(lines.begin(), lines.end(), [&](const LogLine &line) {
+        return jobOf(line) == id;
+    });
+    Timeline timeline{isJob ? Subject::Job : Subject::Request, id, {}};
     std::set<std::string> members;
     std::set<std::string> hosts;
+    std::set<std::string> paths;
     std::set<std::string> lostHosts;
     std::set<std::string> lostInstances;
     LogTime first = LogTime::max();
     LogTime last = LogTime::min();
     for (const auto &line : lines) {
-        if (jobOf(line) != job) {
+        if ((isJob ? jobOf(line) : line.field("request")) != id) {
             continue;
         }
         timeline.lines.push_back(line);
-        timeline.lines.back().fields["job"] = job;
+        if (isJob) {
+            timeline.lines.back().fields["job"] = id;
+        }
         members.insert(line.field("member"));
+        paths.insert(line.field("path"));
         hosts.merge(splitAtCommas(line.field("hosts")));
         if (line.event == "run lost") {
             lostHosts.insert(line.field("host"));
@@ -216,15 +246,18 @@
     }
     hosts.insert(lostHosts.begin(), lostHosts.end());
     members.insert(hosts.begin(), hosts.end());
+    const std::chrono::seconds afterLast = isJob ? std::chrono::seconds(0) : AfterCut;
     const auto unconfirmed = unconfirmedSince(timeline.lines);
     const auto policies = unconfirmed.empty() ? std::set<const LogLine *>() : policiesInForce(lines, unconfirmed, last);
     for (const auto &line : lines) {
         const auto since = unconfirmed.find(line.field("member"));
         const LogTime begin = since == unconfirmed.end() ? first : std::min(first, since->second);
         const bool isOfLostHost = lostHosts.contains(line.field("member")) || lostHosts.contains(line.field("host"));
-        const LogTime end = isOfLostHost ? last + AfterLoss : last;
+        const LogTime end = last + (isOfLostHost ? AfterLoss : afterLast);
         const bool isMeanwhile = jobOf(line).empty() && line.time + Before >= begin && line.time <= end;
-        const bool isBelief = isOneOf(SharedBeliefs, line.event) || (isOneOf(OwnBeliefs, line.event) && members.contains(line.field("member")))
+        const bool isOfMember = isOneOf(OwnBeliefs, line.event) || (!isJob && isOneOf(EntryBeliefs, line.event))
+            || (!isJob && isOneOf(DrainEvents, line.event) && paths.contains(pathOnConnection(line)));
+        const bool isBelief = isOneOf(SharedBeliefs, line.event) || (isOfMember && members.contains(line.field("member")))
             || (isOneOf(HostBeliefs, line.event) && hosts.contains(line.field("host")));
         // When an agent began to know the incarnation that lost runs were on, however long before.
         const bool isOfLostInstance = line.event == "executor known" && isOfLostHost && lostInstances.contains(line.field("instance")) && line.time < begin;
@@ -236,11 +269,16 @@
     return timeline;
 }
 
+bool isOwn(const Timeline &timeline, const LogLine &line)
+{
+    return line.field(timeline.subject == Subject::Job ? "job" : "request") == timeline.id;
+}
+
 std::vector<const LogLine *> ownLines(const Timeline &timeline, const std::string &event)
 {
     std::vector<const LogLine *> found;
     for (const auto &line : timeline.lines) {
-        if (line.event == event && line.field("job") == timeline.job) {
+        if (line.event == event && isOwn(timeline, line)) {
             found.push_back(&line);
         }
     }
@@ -256,10 +294,10 @@
     std::ostringstream text;
     for (const auto &line : timeline.lines) {
         const auto since = std::chrono::duration_cast<std::chrono::milliseconds>(line.time - first);
-        const bool isOwn = line.field("job") == timeline.job;
-        text << (isOwn ? "  " : "~ ") << since.count() << " ms  " << line.field("member") << "  " << line.event;
+        text << (isOwn(timeline, line) ? "  " : "~ ") << since.count() << " ms  " << line.field("member") << "  " << line.event;
         for (const auto &[name, value] : line.fields) {
-            if (name != "job" && name != "member" && name != "role" && name != "severity") {
+            const bool isSubject = name == (timeline.subject == Subject::Job ? "job" : "request");
+            if (!isSubject && name != "member" && name != "role" && name != "severity") {
                 text << "  " << name << '=' << value;
             }
         }
--- a/src/explain/verdict.cpp
+++ b/src/explain/verdict.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 #include "explain/lost_runs.h"
@@ -38,7 +39,7 @@
 {
     std::map<std::string, unsigned> events;
     for (const auto &line : timeline.lines) {
-        if (line.field("job") != timeline.job && line.time >= from && line.time <= to) {
+        if (!isOwn(timeline, line) && line.time >= from && line.time <= to) {
             ++events[line.event];
         }
     }
@@ -53,7 +54,7 @@
 {
     const LogLine &last = *refusals.back();
     const std::string reason = last.field("why").empty() ? last.field("reason") : last.field("why");
-    std::string text = timeline.job + " was refused by " + last.field("member") + ": " + (reason.empty() ? last.event : reason);
+    std::string text = timeline.id + " was refused by " + last.field("member") + ": " + (reason.empty() ? last.event : reason);
     if (!last.field("age_ms").empty()) {
         text += " (for " + last.field("age_ms") + " ms)";
     }
@@ -221,9 +222,13 @@
             text += ". Meanwhile " + other->field("member") + " had " + policyText(*other);
         }
     }
-    return count == 0
-        ? ""
-        : " " + counted(count, "request") + " about it " + (count == 1 ? "was" : "were") + " refused, as the entry's policy was not confirmed: " + text + ".";
+    if (count == 0) {
+        return "";
+    }
+    if (timeline.subject == Subject::Request) {
+        return " The policy at its entry: " + text + ".";
+    }
+    return " " + counted(count, "request") + " about it " + (count == 1 ? "was" : "were") + " refused, as the entry's policy was not confirmed: " + text + ".";
 }
 
 /** Answers that were ready but didn't reach their caller. */
@@ -275,7 +280,7 @@
 {
     const auto ends = ownLines(timeline, "job ended");
     const auto phases = phasesOf(timeline, accepted);
-    std::string text = timeline.job + " was accepted by " + accepted.field("member");
+    std::string text = timeline.id + " was accepted by " + accepted.field("member");
     text += ends.empty() ? " and has no end in these logs"
                          : " and ended as " + ends.back()->field("status") + " " + milliseconds(ends.back()->time - accepted.time) + " later";
     const auto longest = std::max_element(phases.begin(), phases.end(), [](const Phase &a, const Phase &b) {
@@ -292,10 +297,114 @@
     return text + ".";
 }
 
+/** The newest change of belief with that event at a member by then; null if there is none. */
+const LogLine *beliefAt(const Timeline &timeline, const std::string &event, const std::string &member, LogTime until)
+{
+    const LogLine *newest = nullptr;
+    for (const auto &line : timeline.lines) {
+        if (line.event == event && line.field("member") == member && line.time <= until) {
+            newest = &line;
+        }
+    }
+    return newest;
+}
+
+/** How long the entry had been stopping when it wrote the line; empty if it was not. */
+std::string stopText(const Timeline &timeline, const LogLine &line)
+{
+    const auto *stopping = beliefAt(timeline, "daemon stopping", line.field("member"), line.time);
+    const auto *starting = beliefAt(timeline, "daemon starting", line.field("member"), line.time);
+    if (stopping == nullptr || (starting != nullptr && starting->time > stopping->time)) {
+        return "";
+    }
+    return " The entry had been stopping for " + milliseconds(line.time - stopping->time) + " then.";
+}
+
+/** Why the entry could not count waiting jobs, if that is so by then. */
+std::string uncountedText(const Timeline &timeline, const LogLine &line)
+{
+    const auto *uncounted = beliefAt(timeline, "waiting jobs not counted", line.field("member"), line.time);
+    const auto *counted = beliefAt(timeline, "waiting jobs counted again", line.field("member"), line.time);
+    if (uncounted == nullptr || (counted != nullptr && counted->time > uncounted->time)) {
+        return "";
+    }
+    const std::string leader = uncounted->field("leader");
+    return " It could not count waiting jobs since " + milliseconds(line.time - uncounted->time)
+        + " before: " + (leader.empty() ? "" : "leader " + leader + ": ") + uncounted->field("reason") + ".";
+}
+
+std::string cutText(const Timeline &timeline, const LogLine &cut)
+{
+    const std::string &member = cut.field("member");
+    std::string text = timeline.id + " (" + cut.field("call") + " " + cut.field("path") + ") was still at work at " + member + " when its drain ended, after "
+        + cut.field("age_ms") + " ms; its caller had " + cut.field("left_ms") + " ms left.";
+    if (beliefAt(timeline, "connection cut", member, cut.time) != nullptr) {
+        text += " A connection with a request for that path was closed without an answer.";
+    } else if (beliefAt(timeline, "request abandoned", member, cut.time) != nullptr) {
+        text += " The answer was that the entry is stopping.";
+    }
+    return text + (cut.field("call") == "pending" ? uncountedText(timeline, cut) : "");
+}
+
+std::string countRefusedText(const LogLine &refusal)
+{
+    const std::string &leader = refusal.field("leader");
+    return "was refused by " + refusal.field("member") + " after " + refusal.field("took_ms") + " ms, as no leader that counts waiting jobs was reachable: "
+        + (leader.empty() ? "" : "it last asked " + leader + ": ") + refusal.field("reason") + ".";
+}
+
+/** What the last line about a request says of its fate. */
+std::string decisionText(const Timeline &timeline, const LogLine &last)
+{
+    if (last.event == "call cut") {
+        return cutText(timeline, last);
+    }
+    if (last.event == "count refused") {
+        return timeline.id + " (" + last.field("path") + ") " + countRefusedText(last);
+    }
+    if (last.event == "answer late") {
+        const auto refusals = ownLines(timeline, "count refused");
+        return timeline.id + " was answered (" + last.field("outcome") + "), but too late"
+            + (refusals.empty() ? "." : ": it " + countRefusedText(*refusals.back()));
+    }
+    if (const auto refusals = refusalsOf(timeline); !refusals.empty() && refusals.back() == &last) {
+        return refusalText(timeline, refusals);
+    }
+    return timeline.id + " was answered by " + last.field("member") + ": " + last.event + " (" + last.field("why") + ").";
+}
+
+/** What decided a request. An earlier line with its id is of another try, or of the same decision. */
+std::string requestVerdict(const Timeline &timeline)
+{
+    const LogLine *last = nullptr;
+    std::size_t count = 0;
+    std::set<std::string> jobs;
+    for (const auto &line : timeline.lines) {
+        if (isOwn(timeline, line)) {
+            last = &line;
+            ++count;
+            jobs.insert(line.field("job"));
+        }
+    }
+    if (last == nullptr) {
+        return "No line tells of " + timeline.id + ".";
+    }
+    std::string text = decisionText(timeline, *last) + stopText(timeline, *last) + unconfirmedText(timeline) + undeliveredText(timeline);
+    text += count == 1 ? "" : " " + std::to_string(count) + " lines name it; this is about the last.";
+    jobs.erase("");
+    for (const auto &job : jobs) {
+        text += " It is about job " + job + ": go on with `plantainfork explain " + job + "`.";
+    }
+    return text;
+}
+
 } // namespace
 
 std::string verdict(const Timeline &timeline)
 {
+    if (timeline.subject == Subject::Request) {
+        return requestVerdict(timeline);
+    }
     const auto accepted = ownLines(timeline, "job accepted");
     const auto unclear = ownLines(timeline, "job unclear");
     const auto refusals = refusalsOf(timeline);
@@ -314,7 +423,7 @@
     } else if (!refusals.empty()) {
         text += refusalText(timeline, refusals);
     } else {
-        text += timeline.lines.empty() ? "No line tells of " + timeline.job + "." : "No entry's answer for " + timeline.job + " is in these logs.";
+        text += timeline.lines.empty() ? "No line tells of " + timeline.id + "." : "No entry's answer for " + timeline.id + " is in these logs.";
     }
     return text + lostRunsText(timeline) + crashText(timeline) + unconfirmedText(timeline) + undeliveredText(timeline);
 }
--- a/src/explain/verdict.h
+++ b/src/explain/verdict.h
@@ -1,4 +1,4 @@
-/** What decided a job's fate, in a sentence or two, from its timeline. */
+/** What decided the fate of a job or a request, in a sentence or two, from its timeline. */
 #pragma once
 
 #include <string>
--- a/tests/explain/explain_test.cpp
+++ b/tests/explain/explain_test.cpp
@@ -1,4 +1,7 @@
-/** Causes of failed requests, found from logs as they were written: four of days on the users' bench, one of the soak. */
+/**
+ * Causes of failed requests, found from logs as they were written: four of days on the users' bench, one of the soak, two of entries that
+ * were stopped, paused and cut off from their store by hand.
+ */
 #include <fstream>
 #include <sstream>
 
@@ -211,6 +214,95 @@
     REQUIRE(log.unreadable == std::vector<std::string>{"one:3", "one:4", "one:5", "one:6"});
 }
 
+TEST_CASE("A request for waiting jobs that a stopping entry refused: nobody was known to lead")
+{
+    const auto timeline = explain::gather(readRecorded("requests.log").lines, "5fa21c7e60d8b934");
+    const auto text = explain::verdict(timeline);
+    INFO(text);
+    REQUIRE(has(text,
+                "5fa21c7e60d8b934 (/proof/) was refused by edge-1 after 2953 ms, as no leader that counts waiting jobs was reachable: nobody is known to be in "
+                "office."));
+    REQUIRE(has(text, "The entry had been stopping for 48"));
+    const auto story = explain::describe(timeline);
+    INFO(story);
+    REQUIRE(has(story, "edge-1  daemon stopping  signal=15"));
+    REQUIRE(has(story, "edge-1  office given up"));
+    REQUIRE(has(story, "edge-1  waiting jobs not counted"));
+    REQUIRE(has(story, "edge-1  entry drained  calls_cut=0  connections_cut=0"));
+    REQUIRE_FALSE(has(story, "0b95d7f3c8a1e264"));
+}
+
+TEST_CASE("A request for waiting jobs that was refused too late: its leader was paused")
+{
+    const auto text = verdictOf("requests.log", "0b95d7f3c8a1e264");
+    INFO(text);
+    REQUIRE(has(text, "0b95d7f3c8a1e264 was answered (refused), but too late: it was refused by edge-2 after 660 ms"));
+    REQUIRE(has(text, "it last asked 127.0.0.1:42737: no reply before the deadline"));
+    REQUIRE(has(text, "pending by edge-2 after 660 ms, 360 ms late."));
+    REQUIRE_FALSE(has(text, "had been stopping"));
+}
+
+TEST_CASE("A request without a job that was refused as the policy was not confirmed")
+{
+    const auto text = verdictOf("requests.log", "e8364ab1907cd25f");
+    INFO(text);
+    REQUIRE(has(text, "e8364ab1907cd25f was refused by edge-2: policy not confirmed (for 8703 ms)"));
+    REQUIRE(has(text, "The policy at its entry: edge-2 (once, after 8703 ms without a confirmation): version 1 in force"));
+}
+
+TEST_CASE("A request about a job leads to the job")
+{
+    const auto text = verdictOf("requests.log", "71c2e0a94d3b5f68");
+    INFO(text);
+    REQUIRE(has(text, "71c2e0a94d3b5f68 was answered by edge-1: job accepted (written)."));
+    REQUIRE(has(text, "It is about job 000000000000000a: go on with `plantainfork explain 000000000000000a`."));
+    SECTION("and an id that is both is the job's")
+    {
+        const std::string start = "time=2026-01-31T12:00:01.000000Z severity=info event=";
+        const std::vector<explain::LogLine> lines{
+            line(start + "\"job accepted\" member=e request=a job=a why=written"),
+            line(start + "\"count refused\" member=e request=a path=/q/ leader=\"\" reason=x took_ms=1 left_ms=1 stopping=false"),
+        };
+        REQUIRE(has(explain::verdict(explain::gather(lines, "a")), "a was accepted by e"));
+    }
+}
+
+TEST_CASE("A request that was still at work when a drain ended")
+{
+    // Recorded with an entry whose requests don't learn when a stop ends.
+    const auto timeline = explain::gather(readRecorded("cut.log").lines, "d40e7a65e39c7178");
+    const auto text = explain::verdict(timeline);
+    INFO(text);
+    REQUIRE(has(text, "d40e7a65e39c7178 (pending /proof/) was still at work at edge-1 when its drain ended, after 3209 ms; its caller had 16790 ms left."));
+    REQUIRE(has(text, "The answer was that the entry is stopping."));
+    REQUIRE(has(text, "It could not count waiting jobs since 3209 ms before: nobody is known to be in office."));
+    REQUIRE(has(text, "The entry had been stopping for 5110 ms then."));
+    REQUIRE(has(explain::describe(timeline), "edge-1  request abandoned"));
+    REQUIRE(has(explain::describe(timeline), "edge-1  entry drained  calls_cut=1"));
+}
+
+TEST_CASE("A request whose connection a drain closed is not said to have been answered")
+{
+    const std::string start = "time=2026-01-31T12:00:0";
+    const std::vector<explain::LogLine> lines{
+        line(start + "1.000000Z severity=warning event=\"connection cut\" member=e state=answering request_line=\"GET /q/\" age_ms=10"),
+        line(start + "1.000000Z severity=warning event=\"connection cut\" member=e state=answering request_line=\"GET /other/\" age_ms=10"),
+        line(start + "1.100000Z severity=warning event=\"call cut\" member=e request=r1 call=pending path=/q/ age_ms=20 left_ms=30"),
+    };
+    const auto timeline = explain::gather(lines, "r1");
+    const auto text = explain::verdict(timeline);
+    INFO(text);
+    REQUIRE(timeline.lines.size() == 2);
+    REQUIRE(has(text, "A connection with a request for that path was closed without an answer."));
+}
+
+TEST_CASE("A hostile id of a request is read back whole")
+{
+    const auto read = line("time=2026-01-31T12:00:01.000000Z severity=info event=\"count refused\" member=e request=\"\\\"\\\\=?job\" path=/q/ reason=x");
+    REQUIRE(read.field("request") == "\"\\=?job");
+    REQUIRE(explain::gather({read}, "\"\\=?job").lines.size() == 1);
+}
+
 TEST_CASE("A job that no log tells of is said to be unknown")
 {
     REQUIRE(explain::verdict(explain::gather({}, "a")) == "No line tells of a.");
