--- a/src/ctl/usage.cpp
+++ b/src/ctl/usage.cpp
@@ -37,8 +37,8 @@
   capacity              Draw who uses which accelerators.
   members, status       List the daemons; show the revision in force in each data centre and who lags.
   config                List changes; compare two revisions.
-  explain               Tell from the daemons' logs what became of a job of the batch service, and why; "~" marks
-                        changes of belief meanwhile.
+  explain               Tell from the daemons' logs what became of a job or a caller's request of the batch
+                        service, and why; "~" marks changes of belief meanwhile.
   check                 Validate daemon settings files; all findings as FILE:LINE:COLUMN.
 
 Options:
