--- a/tests/batch/job_request_handler_test.cpp
+++ b/tests/batch/job_request_handler_test.cpp
@@ -236,6 +236,13 @@
         REQUIRE(fixture.submit("a").kind == batch::AnswerKind::Unclear);
         CHECK(has(captured.text(), "event=\"job unclear\" request=r1 job=a"));
     }
+    SECTION("still open when a stop ends")
+    {
+        const auto now = runtime::Clock::now();
+        const batch::OpenCalls::Guard open(fixture.handler.openCalls(), {"pending", "r1", "/q/", now - 2s, now + 1s});
+        fixture.handler.openCalls().log("call cut", now);
+        CHECK(has(captured.text(), "event=\"call cut\" request=r1 call=pending path=/q/ age_ms=2000 left_ms=1000"));
+    }
     SECTION("under an unknown key")
     {
         REQUIRE(fixture.askPending("other").kind == batch::AnswerKind::UnknownKey);
--- a/tests/platform/callers_test.cpp
+++ b/tests/platform/callers_test.cpp
@@ -5,6 +5,7 @@
 
 #include "log/line.h"
 #include "platform/callers.h"
+#include "support/captured_log.h"
 
 using namespace plantainfork;
 using namespace std::chrono_literals;
@@ -65,6 +66,20 @@
     REQUIRE(line.substr(line.size() - 7) == "\" job=a");
 }
 
+TEST_CASE("The line about a late answer names the request")
+{
+    http::Request late = request("GET", "/lohu930/");
+    late.headers.push_back({"Request-Id", "d40e7a65e39c7178"});
+    const auto begin = runtime::Clock::now() - 1500ms;
+    const auto decoded = platform::decodeRequest(late, begin);
+    batch::Answer answer;
+    answer.kind = batch::AnswerKind::Count;
+    const tests::CapturedLog captured;
+    platform::logIfLate(decoded, answer, begin);
+    INFO(captured.text());
+    REQUIRE(captured.text().find("event=\"answer late\" request=d40e7a65e39c7178 job=\"\" call=pending outcome=count") != std::string::npos);
+}
+
 TEST_CASE("A refusal says when to come back, and an unclear end isn't told as one")
 {
     batch::Answer answer;
