bench: Carry out a stop again on a host's next life

A host of the decisions bench carried out the stop of a run once for good. If it crashed in between, the stop that the leader gave for the next life was dropped, and the task never ended.

--- a/bench/decisions/playback.cpp
+++ b/bench/decisions/playback.cpp
@@ -5,6 +5,7 @@
 #include <queue>
 #include <random>
 #include <set>
+#include <tuple>
 #include <utility>
 
 #include "batch/planner.h"
@@ -266,7 +267,7 @@
             }
         }
         for (const auto &run : orders.stops) {
-            if (m_stopped.insert({index, run}).second) {
+            if (host.isUp() && m_stopped.insert({index, life, run}).second) {
                 after(OrderDelay, [this, index, life, run] {
                     stop(index, life, run);
                 });
@@ -277,7 +278,7 @@
     void start(std::size_t index, std::uint64_t life, const batch::RunOrder &order)
     {
         SimulatedHost &host = m_hosts[index];
-        if (host.life() != life || !host.isUp() || m_stopped.contains({index, order.run})) {
+        if (host.life() != life || !host.isUp() || m_stopped.contains({index, life, order.run})) {
             return;
         }
         const Arrival &arrival = *m_arrivals.at(order.run.task.job);
@@ -491,7 +492,8 @@
     std::map<base::JobId, Instant> m_firstStart;
     /** Orders that a host has received already, so that repeated ones are not carried out again. */
     std::set<std::pair<std::size_t, batch::RunId>> m_ordered;
-    std::set<std::pair<std::size_t, batch::RunId>> m_stopped;
+    /** Stops that a life of a host has received already; the next life doesn't know of them. */
+    std::set<std::tuple<std::size_t, std::uint64_t, batch::RunId>> m_stopped;
     std::map<std::pair<base::JobId, std::uint64_t>, std::set<std::uint32_t>> m_finishedMembers;
     std::set<batch::TaskId> m_doneTasks;
     std::priority_queue<Event> m_events;
