batch: Bar every run on the next life under the executor's id

A start without an answer may be carried out seconds late, after newer calls. If its second try had been carried out and listed, and the executor then restarted under its id, the run was given up at once: the late first try could run on the next life beside the next attempt. Only runs that no life had listed were barred there first; now every run is, and its task waits for that.

--- a/src/batch/workload_reports.cpp
+++ b/src/batch/workload_reports.cpp
@@ -313,10 +313,10 @@
             if (member.host != host.id || member.phase == MemberPhase::Ended || member.incarnation == present) {
                 continue;
             }
-            // Executors are addressed by id alone, so the new incarnation may receive an order that no incarnation has listed yet.
-            const bool mayHaveReceivedOrder =
-                member.phase == MemberPhase::Ordered && member.incarnation.instance == present.instance && unit->phase == UnitPhase::Placed;
-            if (mayHaveReceivedOrder) {
+            // Executors are addressed by id alone, so the new incarnation may carry out a start that was sent to the earlier one, be it the first
+            // try of a start whose second try the earlier one had listed.
+            const bool mayReceiveStart = member.incarnation.instance == present.instance && unit->phase == UnitPhase::Placed;
+            if (mayReceiveStart) {
                 member.incarnation = present;
                 stop({job, unit}, StopReason::HostRestarted);
             } else {
