platform, soak: Check that planned work cuts no request

New runs (--calm) bring planned work only (stops in series, pairs, all at once, twice, soon after a start; SIGHUPs; policies), with callers that keep one connection each. Other runs draw their troubles as before.

--- a/tests/platform/soak/callers.cpp
+++ b/tests/platform/soak/callers.cpp
@@ -97,11 +97,14 @@
     return static_cast<unsigned>(m_random() % bound);
 }
 
-Callers::Sent Callers::draw(const std::string &job)
+Callers::Sent Callers::draw(const std::string &job, std::mt19937_64 &random)
 {
+    const auto below = [&random](unsigned bound) {
+        return static_cast<unsigned>(random() % bound);
+    };
     const Queue &queue = Queues.at(below(Queues.size()));
     JobPlan plan;
-    plan.payload = (below(Percent) < DeadlyPercent ? std::string(DeadlyMark) : std::string()) + "payload of " + job;
+    plan.payload = (below(Percent) < DeadlyPercent && !m_isCalm ? std::string(DeadlyMark) : std::string()) + "payload of " + job;
     StepPlan first;
     first.tasks = 1 + below(4);
     first.isGang = first.tasks > 1 && queue.priority < 2 && below(2) == 0;
@@ -122,6 +125,15 @@
     return sent;
 }
 
+std::pair<std::string, Callers::Sent> Callers::newJob(std::mt19937_64 &random)
+{
+    std::array<char, 17> id{};
+    std::snprintf(id.data(), id.size(), "%016llx", static_cast<unsigned long long>(++m_lastJob));
+    const std::string job(id.data());
+    m_sent[job] = draw(job, random);
+    return {job, m_sent[job]};
+}
+
 asio::awaitable<http::Exchange> Callers::call(std::string method, const Sent &sent)
 {
     const auto entry = below(static_cast<unsigned>(m_entries.size()));
@@ -145,11 +157,8 @@
 {
     const auto until = runtime::Clock::now() + length;
     while (runtime::Clock::now() < until) {
-        std::array<char, 17> id{};
-        std::snprintf(id.data(), id.size(), "%016llx", static_cast<unsigned long long>(++m_lastJob));
-        const std::string job(id.data());
-        m_sent[job] = draw(job);
-        asio::co_spawn(m_executor, follow(job, m_sent[job]), asio::detached);
+        auto [job, sent] = newJob(m_random);
+        asio::co_spawn(m_executor, follow(std::move(job), std::move(sent)), asio::detached);
         co_await runtime::sleepFor(interval);
     }
 }
@@ -179,13 +188,18 @@
 asio::awaitable<Told> Callers::submit(const std::string &job, const Sent &sent)
 {
     const auto exchange = co_await call("POST", sent);
-    Told told = exchange.delivery == http::Delivery::NotSent ? Told::Refused : Told::Unclear;
-    if (exchange.response.ok()) {
-        const auto status = exchange.response->status;
+    const auto status = exchange.response.ok() ? std::optional<unsigned>(exchange.response->status) : std::nullopt;
+    co_return submitAnswered(job, status, exchange.delivery != http::Delivery::NotSent);
+}
+
+Told Callers::submitAnswered(const std::string &job, std::optional<unsigned> status, bool isSent)
+{
+    Told told = isSent ? Told::Unclear : Told::Refused;
+    if (status) {
         told = status == 200 ? Told::Accepted : status == 503 || status == 429 ? Told::Refused : Told::Unclear;
     }
     m_ledger.told(job, told, runtime::Clock::now());
-    co_return told;
+    return told;
 }
 
 asio::awaitable<void> Callers::cancel(std::string job, Sent sent)
@@ -210,10 +224,15 @@
     if (!exchange.response.ok() || (exchange.response->status != 200 && exchange.response->status != 410)) {
         co_return "";
     }
-    const Json body = Json::parse(exchange.response->body, nullptr, false);
-    const std::string state = exchange.response->status == 200 && body.is_object() ? body.value("State", std::string()) : std::string();
+    co_return shown(job, exchange.response->status, exchange.response->body);
+}
+
+std::string Callers::shown(const std::string &job, unsigned status, const std::string &body)
+{
+    const Json json = Json::parse(body, nullptr, false);
+    const std::string state = status == 200 && json.is_object() ? json.value("State", std::string()) : std::string();
     m_ledger.shown(job, state, runtime::Clock::now());
-    co_return state;
+    return state;
 }
 
 asio::awaitable<void> Callers::awaitEnds(std::chrono::milliseconds limit)
--- a/tests/platform/soak/callers.h
+++ b/tests/platform/soak/callers.h
@@ -3,8 +3,10 @@
 
 #include <chrono>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include <boost/asio/any_io_executor.hpp>
@@ -24,6 +26,23 @@
 public:
     Callers(asio::any_io_executor executor, Ledger &ledger, std::vector<standins::Endpoint> entries, std::uint64_t seed);
 
+    struct Sent {
+        std::string path;
+        std::string host;
+        std::string body;
+    };
+
+    /** Draws a job and enters it in the ledger. Deadly ones only where executors may crash. */
+    std::pair<std::string, Sent> newJob(std::mt19937_64 &random);
+    void setCalm(bool isCalm)
+    {
+        m_isCalm = isCalm;
+    }
+    /** Enters the answer to a submission. */
+    Told submitAnswered(const std::string &job, std::optional<unsigned> status, bool isSent);
+    /** Enters the state that was shown, and returns it. */
+    std::string shown(const std::string &job, unsigned status, const std::string &body);
+
     /** Submits a job each interval for that long. */
     asio::awaitable<void> submitFor(std::chrono::milliseconds length, std::chrono::milliseconds interval);
     /** Asks for all open jobs, over and over, until none is open or the limit is reached. */
@@ -38,25 +57,20 @@
     static constexpr unsigned MostFailures = 3;
 
 private:
-    struct Sent {
-        std::string path;
-        std::string host;
-        std::string body;
-    };
-
     asio::awaitable<void> follow(std::string job, Sent sent);
     asio::awaitable<Told> submit(const std::string &job, const Sent &sent);
     asio::awaitable<void> cancel(std::string job, Sent sent);
     asio::awaitable<std::string> ask(const std::string &job, const Sent &sent);
     asio::awaitable<http::Exchange> call(std::string method, const Sent &sent);
     asio::awaitable<http::Exchange> callAt(http::Client &entry, std::string method, const Sent &sent);
-    Sent draw(const std::string &job);
+    Sent draw(const std::string &job, std::mt19937_64 &random);
     unsigned below(unsigned bound);
 
     asio::any_io_executor m_executor;
     Ledger &m_ledger;
     std::vector<std::unique_ptr<http::Client>> m_entries;
     std::mt19937_64 m_random;
+    bool m_isCalm = false;
     std::uint64_t m_lastJob = 0;
     std::map<std::string, Sent> m_sent;
 };
--- a/tests/platform/soak/executor.cpp
+++ b/tests/platform/soak/executor.cpp
@@ -143,6 +143,8 @@
     m_drainsFor.reset();
     const auto lost = std::move(m_runs);
     m_floor.ledger().crashed(m_name);
+    m_floor.ledger().troubleBegan();
+    m_floor.ledger().troubleEnded(runtime::Clock::now());
     ++m_life;
     m_runs.clear();
     m_ends.clear();
--- a/tests/platform/soak/faults.cpp
+++ b/tests/platform/soak/faults.cpp
@@ -18,6 +18,11 @@
 constexpr std::chrono::milliseconds LongestIncarnationFault{6000};
 /** Keeps the series from drawing the same targets as the one of the frequent kinds. */
 constexpr std::uint64_t IncarnationSeries = 0x10000;
+constexpr std::uint64_t PlannedSeries = 0x20000;
+constexpr std::uint64_t PolicySeries = 0x30000;
+/** How long the platform takes to start a process again. */
+constexpr std::chrono::milliseconds ShortestRestart{50};
+constexpr std::chrono::milliseconds LongestRestart{1500};
 
 constexpr std::array<std::string_view, FaultKinds> Names{"kill entry",
                                                          "kill agent",
@@ -49,7 +54,12 @@
                                                          "foreign goodbye",
                                                          "goodbye of an earlier life",
                                                          "executor leaves",
-                                                         "executor paused"};
+                                                         "executor paused",
+                                                         "stop two entries",
+                                                         "stop all entries",
+                                                         "stop entry, again during it",
+                                                         "stop entry, again after its start",
+                                                         "reload entry"};
 
 struct Series {
     std::uint64_t seed = 0;
@@ -76,6 +86,13 @@
     }
 }
 
+void sortByTime(std::vector<Fault> &faults)
+{
+    std::stable_sort(faults.begin(), faults.end(), [](const Fault &left, const Fault &right) {
+        return left.at < right.at;
+    });
+}
+
 } // namespace
 
 std::string_view faultText(FaultKind kind)
@@ -88,15 +105,28 @@
     std::vector<Fault> faults;
     draw(faults, {seed, 0, FrequentFaultKinds, Shortest, Longest}, length, gap);
     draw(faults, {seed, static_cast<unsigned>(FaultKind::RoomChange), 1, ShortestRoom, LongestRoom}, length, 3 * gap);
-    const auto incarnationKinds = FaultKinds - IncarnationFaultKinds;
+    const auto incarnationKinds = FaultKinds - PlannedFaultKinds - IncarnationFaultKinds;
     draw(faults, {seed ^ IncarnationSeries, incarnationKinds, IncarnationFaultKinds, Shortest, LongestIncarnationFault}, length, gap * 3 / 2);
     if (seed % LargePolicySeeds == 1) {
         faults.push_back({length / 4, FaultKind::LargePolicy, 0, {}});
     }
-    std::stable_sort(faults.begin(), faults.end(), [](const Fault &left, const Fault &right) {
-        return left.at < right.at;
-    });
+    sortByTime(faults);
     return faults;
 }
 
+std::vector<Fault> drawPlannedWork(std::uint64_t seed, std::chrono::milliseconds length, std::chrono::milliseconds gap)
+{
+    std::vector<Fault> faults;
+    draw(faults, {seed, static_cast<unsigned>(FaultKind::StopEntry), 1, ShortestRestart, LongestRestart}, length, 3 * gap);
+    draw(faults, {seed ^ PlannedSeries, FaultKinds - PlannedFaultKinds, PlannedFaultKinds, ShortestRestart, LongestRestart}, length, 3 * gap);
+    draw(faults, {seed ^ PolicySeries, static_cast<unsigned>(FaultKind::PolicyChange), 1, ShortestRestart, LongestRestart}, length, 6 * gap);
+    sortByTime(faults);
+    return faults;
+}
+
+bool isPlanned(FaultKind kind)
+{
+    return kind == FaultKind::StopEntry || kind == FaultKind::PolicyChange || kind >= FaultKind::StopPair;
+}
+
 } // namespace plantainfork::soak
--- a/tests/platform/soak/faults.h
+++ b/tests/platform/soak/faults.h
@@ -41,12 +41,19 @@
     LateGoodbye,
     ExecutorLeaves,
     PauseExecutor,
+    StopPair,
+    StopAll,
+    StopTwice,
+    StopStarting,
+    ReloadEntry,
 };
-constexpr unsigned FaultKinds = 31;
+constexpr unsigned FaultKinds = 36;
 /** The first of them come in one series; the others are drawn apart, so that a seed's series stays as it was. */
 constexpr unsigned FrequentFaultKinds = 19;
-/** The last of them come in a series apart, too: what makes an executor look like another incarnation, or be one. */
+/** The next to last of them come in a series apart, too: what makes an executor look like another incarnation, or be one. */
 constexpr unsigned IncarnationFaultKinds = 10;
+/** The last of all come only in calm runs, beside stops of entries and changes of the policy. */
+constexpr unsigned PlannedFaultKinds = 5;
 /** Every so many seeds the policy grows on slow lines, from seed 1 on. Callers hear many refusals then, so that other troubles meet few jobs. */
 constexpr unsigned LargePolicySeeds = 4;
 
@@ -64,4 +71,9 @@
  * is left without new ones. */
 [[nodiscard]] std::vector<Fault> drawFaults(std::uint64_t seed, std::chrono::milliseconds length, std::chrono::milliseconds gap);
 
+/** Planned work only: stops of entries, other work on them, and changes of the policy, each in a series of its own. */
+[[nodiscard]] std::vector<Fault> drawPlannedWork(std::uint64_t seed, std::chrono::milliseconds length, std::chrono::milliseconds gap);
+/** Whether it is work that callers shouldn't notice. */
+[[nodiscard]] bool isPlanned(FaultKind kind);
+
 } // namespace plantainfork::soak
--- a/tests/platform/soak/ledger.cpp
+++ b/tests/platform/soak/ledger.cpp
@@ -1,6 +1,7 @@
 #include "platform/soak/ledger.h"
 
 #include <algorithm>
+#include <array>
 #include <cstdio>
 #include <iterator>
 #include <utility>
@@ -17,6 +18,15 @@
 constexpr std::chrono::milliseconds VisibleBound{3000};
 /** A room that has shrunk counts after one report of the executor and the time after which an agent is in touch. From the platform's bounds. */
 constexpr std::chrono::milliseconds RoomBound{1000 + 4000};
+/** From SIGTERM to SIGKILL, and what may still be cut by it. From the platform's bounds, as are the next four. */
+constexpr std::chrono::milliseconds StopBound{6000 + 1000};
+constexpr std::chrono::milliseconds ReloadBound{3000};
+constexpr std::chrono::milliseconds PolicyBound{3000 + 1000};
+constexpr std::chrono::milliseconds ContactBound{4000};
+constexpr std::chrono::milliseconds LossSlack{200};
+/** The share of its time after which a request isn't counted beside a policy. From the platform's rules. */
+constexpr double UsedTime = 0.7;
+constexpr std::array<std::string_view, 3> WorkNames{"SIGTERM", "SIGHUP", "policy change"};
 /** Crashes under a task after which its job may be given up. From the platform's rules, as are the next two. */
 constexpr unsigned CrashesToGiveUp = 2;
 /** Crashes under a task after which it may not be started without end. */
@@ -302,6 +312,66 @@
     return static_cast<unsigned>(task.running.erase(executor));
 }
 
+void Ledger::planned(PlannedWork work, const std::string &entry, Instant now)
+{
+    m_work.push_back({work, entry, now});
+}
+
+void Ledger::troubleBegan()
+{
+    ++m_troubles;
+}
+
+void Ledger::troubleEnded(Instant now)
+{
+    --m_troubles;
+    m_lastTrouble = std::max(m_lastTrouble, now);
+}
+
+bool Ledger::isAround(const Work &work, const CutRequest &request)
+{
+    if ((!work.entry.empty() && work.entry != request.entry) || request.endedAt < work.at) {
+        return false;
+    }
+    switch (work.kind) {
+    case PlannedWork::Stop:
+        return request.endedAt <= work.at + StopBound;
+    case PlannedWork::Reload:
+        return request.sentAt <= work.at + ReloadBound;
+    default:
+        return request.endedAt <= work.at + PolicyBound && request.endedAt - request.sentAt < request.patience * UsedTime;
+    }
+}
+
+void Ledger::cut(const CutRequest &request)
+{
+    ++m_cuts;
+    const auto after = request.endedAt - request.sentAt;
+    const bool isImpaired = m_troubles > 0 || m_lastTrouble + ContactBound > request.sentAt;
+    if (after <= LossSlack || after >= request.patience || isImpaired) {
+        return;
+    }
+    // Where several are near, a stop is named first.
+    const Work *work = nullptr;
+    for (const auto &each : m_work) {
+        work = isAround(each, request) && (work == nullptr || each.kind <= work->kind) ? &each : work;
+    }
+    if (work != nullptr) {
+        const auto milliseconds = [](auto duration) {
+            return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count()) + " ms";
+        };
+        report("cut",
+               request.what + " at " + request.entry + " with a patience of " + milliseconds(request.patience) + " got no whole answer for "
+                   + milliseconds(after) + ", until " + milliseconds(request.endedAt - work->at) + " after a "
+                   + std::string(WorkNames.at(static_cast<std::size_t>(work->kind))));
+    }
+}
+
+void Ledger::killed(const std::string &daemon, std::chrono::milliseconds after)
+{
+    report("stop", daemon + " had not ended " + std::to_string(after.count()) + " ms after a SIGTERM");
+}
+
 std::vector<std::string> Ledger::open() const
 {
     std::vector<std::string> jobs;
@@ -343,6 +413,7 @@
         }
         counts["deadly"] += job.plan.payload.starts_with(DeadlyMark) ? 1 : 0;
     }
+    counts["cuts"] = m_cuts;
     std::string text = "jobs " + std::to_string(m_jobs.size());
     for (const auto &[name, count] : counts) {
         text += ", " + name + " " + std::to_string(count);
--- a/tests/platform/soak/ledger.h
+++ b/tests/platform/soak/ledger.h
@@ -59,6 +59,23 @@
     Unclear,
 };
 
+/** Work on the machines that callers shouldn't notice. */
+enum class PlannedWork : std::uint8_t {
+    Stop,
+    Reload,
+    Policy,
+};
+
+/** A request whose last byte was sent on a channel that ended later without a whole answer to it. */
+struct CutRequest {
+    std::string entry;
+    /** Method and path. */
+    std::string what;
+    std::chrono::milliseconds patience{0};
+    Instant sentAt;
+    Instant endedAt;
+};
+
 class Ledger
 {
 public:
@@ -75,6 +92,16 @@
     /** Once all is well an entry was asked for an accepted job, over and over. */
     void asked(const std::string &entry, const std::string &job, bool isAnswered);
 
+    /** Of one entry, or of all where none is named. */
+    void planned(PlannedWork work, const std::string &entry, Instant now);
+    /** Other trouble than planned work, which may overlap; what begins and doesn't end lasts. */
+    void troubleBegan();
+    void troubleEnded(Instant now);
+    /** Told as soon as the channel has ended. */
+    void cut(const CutRequest &request);
+    /** A process that wasn't paused needed SIGKILL after a SIGTERM. */
+    void killed(const std::string &daemon, std::chrono::milliseconds after);
+
     /** isLate: the executor carried out an order that it hadn't answered. */
     void started(const TaskName &task, std::uint64_t attempt, const std::string &payload, const std::string &executor, bool isLate, Instant now);
     void ended(const TaskName &task, std::uint64_t attempt, const std::string &how, const std::string &executor);
@@ -142,7 +169,18 @@
     void checkRoom(const std::string &executor, const TaskName &name, Instant now);
     void checkStart(const Job &job, const Task &task, const TaskName &name, bool isLate, Instant now);
 
+    struct Work {
+        PlannedWork kind = PlannedWork::Stop;
+        std::string entry;
+        Instant at;
+    };
+    [[nodiscard]] static bool isAround(const Work &work, const CutRequest &request);
+
     unsigned m_maxFailures;
+    std::vector<Work> m_work;
+    unsigned m_troubles = 0;
+    Instant m_lastTrouble;
+    unsigned m_cuts = 0;
     std::map<std::string, Job> m_jobs;
     /** How many accelerators an executor has reported, by the time from which on. */
     std::map<std::string, std::map<Instant, unsigned>> m_rooms;
--- a/tests/platform/soak/ledger_test.cpp
+++ b/tests/platform/soak/ledger_test.cpp
@@ -373,3 +373,143 @@
     history.ledger.asked("entry 1", Job, false);
     REQUIRE(history.breaks("silent"));
 }
+
+namespace
+{
+
+/** Requests of an entry that got no whole answer, at times relative to the planned work. */
+struct CutHistory : History {
+    void cut(std::chrono::milliseconds sent, std::chrono::milliseconds ended, std::chrono::milliseconds patience = 10s)
+    {
+        ledger.cut({"entry-0", "GET /proof/", patience, now + sent, now + ended});
+    }
+    void plan(soak::PlannedWork work, const std::string &entry = "entry-0")
+    {
+        ledger.planned(work, entry, now);
+    }
+};
+
+} // namespace
+
+TEST_CASE("A whole request around a stop gets a whole answer")
+{
+    CutHistory history;
+    SECTION("cut by the stop")
+    {
+        history.plan(soak::PlannedWork::Stop);
+        history.cut(-1s, 4700ms);
+        REQUIRE(history.breaks("cut"));
+    }
+    SECTION("cut by the SIGKILL after it")
+    {
+        history.plan(soak::PlannedWork::Stop);
+        history.cut(3s, 7s);
+        REQUIRE(history.breaks("cut"));
+    }
+    SECTION("cut later than the stop's bound")
+    {
+        history.plan(soak::PlannedWork::Stop);
+        history.cut(3s, 7001ms);
+        REQUIRE_FALSE(history.breaks("cut"));
+    }
+    SECTION("cut before the stop")
+    {
+        history.plan(soak::PlannedWork::Stop);
+        history.cut(-1s, -1ms);
+        REQUIRE_FALSE(history.breaks("cut"));
+    }
+    SECTION("cut while another entry stops")
+    {
+        history.plan(soak::PlannedWork::Stop, "entry-1");
+        history.cut(0s, 1s);
+        REQUIRE_FALSE(history.breaks("cut"));
+    }
+    SECTION("sent just before the end")
+    {
+        history.plan(soak::PlannedWork::Stop);
+        history.cut(1000ms, 1200ms);
+        REQUIRE_FALSE(history.breaks("cut"));
+    }
+    SECTION("sent a moment earlier")
+    {
+        history.plan(soak::PlannedWork::Stop);
+        history.cut(999ms, 1200ms);
+        REQUIRE(history.breaks("cut"));
+    }
+    SECTION("its time was over")
+    {
+        history.plan(soak::PlannedWork::Stop);
+        history.cut(0s, 2s, 2s);
+        REQUIRE_FALSE(history.breaks("cut"));
+    }
+}
+
+TEST_CASE("A whole request around a reload or a change of the policy gets a whole answer")
+{
+    CutHistory history;
+    SECTION("sent soon after a reload")
+    {
+        history.plan(soak::PlannedWork::Reload);
+        history.cut(3s, 9s);
+        REQUIRE(history.breaks("cut"));
+    }
+    SECTION("sent long after a reload")
+    {
+        history.plan(soak::PlannedWork::Reload);
+        history.cut(3001ms, 9s);
+        REQUIRE_FALSE(history.breaks("cut"));
+    }
+    SECTION("cut soon after a change of the policy, which concerns all entries")
+    {
+        history.plan(soak::PlannedWork::Policy, "");
+        history.cut(0s, 4s);
+        REQUIRE(history.breaks("cut"));
+    }
+    SECTION("cut when seven tenths of its time were over")
+    {
+        history.plan(soak::PlannedWork::Policy, "");
+        history.cut(0s, 4s, 5s);
+        REQUIRE_FALSE(history.breaks("cut"));
+    }
+    SECTION("cut long after a change of the policy")
+    {
+        history.plan(soak::PlannedWork::Policy, "");
+        history.cut(0s, 4001ms);
+        REQUIRE_FALSE(history.breaks("cut"));
+    }
+}
+
+TEST_CASE("Requests cut near unplanned trouble aren't counted")
+{
+    CutHistory history;
+    history.plan(soak::PlannedWork::Stop);
+    history.ledger.troubleBegan();
+    SECTION("during it")
+    {
+        history.cut(0s, 2s);
+        REQUIRE_FALSE(history.breaks("cut"));
+    }
+    SECTION("soon after it")
+    {
+        history.ledger.troubleEnded(history.now - 3s);
+        history.cut(0s, 2s);
+        REQUIRE_FALSE(history.breaks("cut"));
+    }
+    SECTION("soon after the last of two that overlap")
+    {
+        history.ledger.troubleBegan();
+        history.ledger.troubleEnded(history.now - 5s);
+        history.cut(0s, 2s);
+        REQUIRE_FALSE(history.breaks("cut"));
+        history.ledger.troubleEnded(history.now - 5s);
+        history.cut(0s, 2s);
+        REQUIRE(history.breaks("cut"));
+    }
+}
+
+TEST_CASE("A process that needs SIGKILL after a SIGTERM is reported")
+{
+    History history;
+    history.ledger.killed("entry-0", 6s);
+    REQUIRE(history.breaks("stop"));
+}
--- a/tests/platform/soak/site.cpp
+++ b/tests/platform/soak/site.cpp
@@ -19,6 +19,14 @@
 
 constexpr unsigned HostsPerRack = 2;
 constexpr std::chrono::milliseconds EndLimit{8000};
+/** From SIGTERM to SIGKILL. From the platform's bounds. */
+constexpr std::chrono::milliseconds Grace{6000};
+constexpr std::chrono::milliseconds LongestPairGap{1200};
+constexpr std::chrono::milliseconds StaggerGap{400};
+constexpr std::chrono::milliseconds LongestSecondStop{2000};
+constexpr std::chrono::milliseconds LongestStart{400};
+/** Gaps between two pieces of work are drawn in so many steps. */
+constexpr unsigned GapSteps = 16;
 constexpr std::chrono::milliseconds SlowStore{300};
 constexpr unsigned LostAnswers = 6;
 constexpr unsigned OrdersCarriedOutLate = 4;
@@ -168,11 +176,25 @@
     return all;
 }
 
+asio::awaitable<void> Site::awaitStop(Daemon &daemon)
+{
+    m_floor.ledger().planned(PlannedWork::Stop, daemon.name, runtime::Clock::now());
+    const bool wasPaused = daemon.isPaused;
+    const auto pauses = daemon.pauses;
+    const auto ended = co_await daemon.process.end(Grace);
+    if (!ended.ok() && daemon.process.signal(SIGKILL).ok() && !wasPaused && pauses == daemon.pauses) {
+        m_floor.ledger().killed(daemon.name, Grace);
+    }
+}
+
 asio::awaitable<void> Site::keepDown(Daemon &daemon, int signal, std::chrono::milliseconds length)
 {
     ++daemon.keptDown;
     // A process that another fault has ended already needs no signal.
     if (daemon.process.signal(signal).ok()) {
+        if (signal == SIGTERM) {
+            co_await awaitStop(daemon);
+        }
         const auto ended = co_await daemon.process.end(EndLimit);
         if (!ended.ok()) {
             throw std::runtime_error(daemon.name + " " + std::string(ended.status().message()));
@@ -190,6 +212,7 @@
         co_return;
     }
     daemon.isPaused = true;
+    ++daemon.pauses;
     co_await runtime::sleepFor(length);
     daemon.isPaused = false;
     // It may have been killed while it was paused.
@@ -213,6 +236,7 @@
 
 void Site::putPolicy()
 {
+    m_floor.ledger().planned(PlannedWork::Policy, "", runtime::Clock::now());
     m_store.put(OperatorKey, Callers::policy(++m_policyVersion, m_moreRoutes));
 }
 
@@ -359,7 +383,60 @@
     }
 }
 
+asio::awaitable<void> Site::work(const Fault &fault)
+{
+    const auto entries = static_cast<unsigned>(m_entries.size());
+    const auto share = [step = fault.target / entries % GapSteps](std::chrono::milliseconds longest) {
+        return longest * step / (GapSteps - 1);
+    };
+    const auto stop = [this, &fault](unsigned entry) {
+        asio::co_spawn(m_context, keepDown(*m_entries[entry % m_entries.size()], SIGTERM, fault.length), asio::detached);
+    };
+    Daemon &entry = *m_entries[fault.target % entries];
+    switch (fault.kind) {
+    case FaultKind::StopPair:
+        stop(fault.target);
+        co_await runtime::sleepFor(share(LongestPairGap));
+        co_return stop(fault.target + 1);
+    case FaultKind::StopAll:
+        for (unsigned i = 0; i < entries; ++i) {
+            stop(fault.target + i);
+            co_await runtime::sleepFor(StaggerGap * (fault.target / entries % 2));
+        }
+        co_return;
+    case FaultKind::StopTwice:
+        stop(fault.target);
+        co_await runtime::sleepFor(share(LongestSecondStop));
+        static_cast<void>(entry.process.signal(SIGTERM));
+        co_return;
+    case FaultKind::StopStarting:
+        co_await keepDown(entry, SIGTERM, fault.length);
+        co_await runtime::sleepFor(share(LongestStart));
+        co_return stop(fault.target);
+    default:
+        m_floor.ledger().planned(PlannedWork::Reload, entry.name, runtime::Clock::now());
+        static_cast<void>(entry.process.signal(SIGHUP));
+    }
+}
+
 asio::awaitable<void> Site::apply(Fault fault)
+{
+    if (fault.kind >= FaultKind::StopPair) {
+        co_return co_await work(fault);
+    }
+    Ledger &ledger = m_floor.ledger();
+    if (!isPlanned(fault.kind)) {
+        ledger.troubleBegan();
+    }
+    co_await bring(fault);
+    // What these have left behind isn't over with them.
+    const bool isLasting = fault.kind == FaultKind::LargePolicy || fault.kind == FaultKind::StoreLosesAnswers || fault.kind == FaultKind::SwallowStoreLink;
+    if (!isPlanned(fault.kind) && !isLasting) {
+        ledger.troubleEnded(runtime::Clock::now());
+    }
+}
+
+asio::awaitable<void> Site::bring(Fault fault)
 {
     Daemon &entry = *m_entries[fault.target % m_entries.size()];
     Host &host = m_hosts[fault.target % m_hosts.size()];
--- a/tests/platform/soak/site.h
+++ b/tests/platform/soak/site.h
@@ -51,6 +51,7 @@
         /** Callers' address of an entry. */
         standins::Endpoint http;
         bool isPaused = false;
+        unsigned pauses = 0;
         /** Faults that keep it down now; it is started again when the last of them is over. */
         unsigned keptDown = 0;
     };
@@ -65,6 +66,10 @@
     void writeEntry(Daemon &daemon);
     void writeAgent(Host &host);
     void launch(Daemon &daemon);
+    asio::awaitable<void> bring(Fault fault);
+    asio::awaitable<void> work(const Fault &fault);
+    /** After a SIGTERM: kills the process when its time is over. */
+    asio::awaitable<void> awaitStop(Daemon &daemon);
     asio::awaitable<void> keepDown(Daemon &daemon, int signal, std::chrono::milliseconds length);
     asio::awaitable<void> pause(Daemon &daemon, std::chrono::milliseconds length);
     asio::awaitable<void> disturbStore(FaultKind kind, std::chrono::milliseconds length);
--- a/tests/platform/soak/soak_main.cpp
+++ b/tests/platform/soak/soak_main.cpp
@@ -10,6 +10,7 @@
 #include <boost/asio/detached.hpp>
 
 #include "platform/soak/callers.h"
+#include "platform/soak/kept_callers.h"
 #include "platform/soak/site.h"
 #include "runtime/timer.h"
 
@@ -21,7 +22,7 @@
 
 constexpr auto Usage = R"(Soaks the batch service under random troubles and checks its promises.
 
-Usage: batch-soak [--seed=N] [--count=N] [--seconds=N] [--gap-ms=N] [--entries=N] [--hosts=N] [--bin=FOLDER] [--port=N]
+Usage: batch-soak [--seed=N] [--count=N] [--seconds=N] [--gap-ms=N] [--entries=N] [--hosts=N] [--bin=FOLDER] [--port=N] [--calm]
 
 Options:
   --seed=N       First seed [default: 1].
@@ -32,6 +33,7 @@
   --hosts=N      Hosts, each with an executor and its agent [default: 5].
   --bin=FOLDER   Where the daemon is; by default beside this program [default: ].
   --port=N       First port to try; 0: from the process id [default: 0].
+  --calm         Planned work only, and callers that keep their connections.
 )";
 
 /** How long after the load and the troubles all accepted jobs may take to end: the longest job, lapses and a few new terms. */
@@ -40,11 +42,13 @@
 constexpr std::chrono::seconds AnswerLimit{14 - 4};
 constexpr std::chrono::milliseconds StartTime{1500};
 constexpr std::chrono::milliseconds JobInterval{180};
+constexpr unsigned KeptConnections = 16;
 
 struct Plan {
     std::uint64_t seed = 1;
     std::chrono::milliseconds length{0};
     std::chrono::milliseconds gap{0};
+    bool isCalm = false;
 };
 
 asio::awaitable<void> bringFaults(asio::io_context &context, Site &site, std::vector<Fault> faults)
@@ -66,8 +70,17 @@
     site.start();
     co_await runtime::sleepFor(StartTime);
     Callers callers(context.get_executor(), ledger, site.callerAddresses(), plan.seed);
-    asio::co_spawn(context, bringFaults(context, site, drawFaults(plan.seed, plan.length, plan.gap)), asio::detached);
-    co_await callers.submitFor(plan.length, JobInterval);
+    KeptCallers kept(context.get_executor(), ledger, callers, site.callerAddresses(), plan.seed);
+    auto faults = plan.isCalm ? drawPlannedWork(plan.seed, plan.length, plan.gap) : drawFaults(plan.seed, plan.length, plan.gap);
+    asio::co_spawn(context, bringFaults(context, site, std::move(faults)), asio::detached);
+    if (plan.isCalm) {
+        callers.setCalm(true);
+        asio::co_spawn(context, callers.submitFor(plan.length, 2 * JobInterval), asio::detached);
+        co_await kept.useFor(plan.length, KeptConnections);
+        std::cout << "  " << kept.summary() << "\n";
+    } else {
+        co_await callers.submitFor(plan.length, JobInterval);
+    }
     co_await site.heal();
     // Callers that still repeat or cancel come to an end within their patience.
     co_await runtime::sleepFor(std::chrono::seconds(4));
@@ -117,7 +130,10 @@
     options.firstPort = static_cast<std::uint16_t>(number("--port") != 0 ? number("--port") : 10'000 + ::getpid() % 200 * 100);
     unsigned failures = 0;
     for (std::uint64_t i = 0; i < number("--count"); ++i) {
-        const Plan plan{number("--seed") + i, std::chrono::seconds(number("--seconds")), std::chrono::milliseconds(number("--gap-ms"))};
+        const Plan plan{number("--seed") + i,
+                        std::chrono::seconds(number("--seconds")),
+                        std::chrono::milliseconds(number("--gap-ms")),
+                        given["--calm"] == "true"};
         options.folder = std::filesystem::temp_directory_path() / ("batch-soak-" + std::to_string(::getpid()) + "-" + std::to_string(plan.seed));
         std::filesystem::create_directories(options.folder);
         const bool isSound = soakOnce(options, plan);
