--- a/tests/platform/soak/kept_callers.cpp
+++ b/tests/platform/soak/kept_callers.cpp
@@ -186,12 +186,17 @@
         const auto now = runtime::Clock::now();
         if (!failed) {
             ++m_counts["answered"];
-            m_counts["late"] += now - request.sentAt > request.patience ? 1 : 0;
+            const auto late = std::chrono::duration_cast<std::chrono::milliseconds>(now - request.sentAt) - request.patience;
+            if (late.count() > 0) {
+                auto &latest = m_counts[request.isBehind ? "late behind another, ms" : "late, ms"];
+                latest = std::max(latest, static_cast<unsigned>(late.count()));
+            }
             answered(request, parser.get().result_int(), parser.get().body());
             channel.isOpen = channel.isOpen && parser.get().keep_alive();
             auto &next = requests.back();
             next.patience -= std::chrono::duration_cast<std::chrono::milliseconds>(now - next.sentAt);
             next.sentAt = now;
+            next.isBehind = true;
             continue;
         }
         if (request.method == "POST") {
--- a/tests/platform/soak/kept_callers.h
+++ b/tests/platform/soak/kept_callers.h
@@ -41,6 +41,8 @@
         Callers::Sent sent;
         std::chrono::milliseconds patience{0};
         Instant sentAt;
+        /** Sent with another one before it, whose answer it had to wait for. */
+        bool isBehind = false;
     };
     struct Channel {
         boost::beast::tcp_stream stream;
--- a/tests/platform/soak/ledger.cpp
+++ b/tests/platform/soak/ledger.cpp
@@ -345,10 +345,10 @@
 
 void Ledger::cut(const CutRequest &request)
 {
-    ++m_cuts;
     const auto after = request.endedAt - request.sentAt;
     const bool isImpaired = m_troubles > 0 || m_lastTrouble + ContactBound > request.sentAt;
     if (after <= LossSlack || after >= request.patience || isImpaired) {
+        ++m_cuts[after <= LossSlack ? "cut within the slack" : isImpaired ? "cut near trouble" : "cut when its time was over"];
         return;
     }
     // Where several are near, a stop is named first.
@@ -356,6 +356,7 @@
     for (const auto &each : m_work) {
         work = isAround(each, request) && (work == nullptr || each.kind <= work->kind) ? &each : work;
     }
+    ++m_cuts[work == nullptr ? "cut apart from work" : "cut by work"];
     if (work != nullptr) {
         const auto milliseconds = [](auto duration) {
             return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count()) + " ms";
@@ -413,7 +414,7 @@
         }
         counts["deadly"] += job.plan.payload.starts_with(DeadlyMark) ? 1 : 0;
     }
-    counts["cuts"] = m_cuts;
+    counts.insert(m_cuts.begin(), m_cuts.end());
     std::string text = "jobs " + std::to_string(m_jobs.size());
     for (const auto &[name, count] : counts) {
         text += ", " + name + " " + std::to_string(count);
--- a/tests/platform/soak/ledger.h
+++ b/tests/platform/soak/ledger.h
@@ -180,7 +180,8 @@
     std::vector<Work> m_work;
     unsigned m_troubles = 0;
     Instant m_lastTrouble;
-    unsigned m_cuts = 0;
+    /** Requests that got no whole answer, by why they count or don't. */
+    std::map<std::string, unsigned> m_cuts;
     std::map<std::string, Job> m_jobs;
     /** How many accelerators an executor has reported, by the time from which on. */
     std::map<std::string, std::map<Instant, unsigned>> m_rooms;
