--- a/tests/platform/soak/kept_callers.cpp
+++ b/tests/platform/soak/kept_callers.cpp
@@ -203,7 +203,7 @@
             m_callers.submitAnswered(request.job, std::nullopt, true);
         }
         if (failed == boost::beast::error::timeout) {
-            ++m_counts["not answered in time"];
+            ++m_counts[request.isBehind ? "not answered in time behind another" : "not answered in time"];
         } else if (channel.isOpen) {
             m_ledger.cut({channel.entry, request.method + " " + request.sent.path, request.patience, request.sentAt, now});
         }
