http: Let a drain wait for a peer that reads its last answer

The wait for the peer to read its last answer and close counted as idle, so the next poll of a drain ended it after 5 ms at most: the very case that it was made for. What the peer sent afterwards reset the connection, and the unread part of the answer was lost.

Such a connection is now in a state of its own that a drain leaves alone; it still ends after 200 ms. As its last answer is written, it isn't counted or logged as cut at the end.

--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -55,6 +55,8 @@
     /** A whole request waits for its handler. */
     Answering,
     Writing,
+    /** The last answer is written, and the peer may still read it. */
+    Closing,
 };
 
 std::string_view stateText(ConnectionState state)
@@ -68,6 +70,8 @@
         return "answering";
     case ConnectionState::Writing:
         return "writing";
+    case ConnectionState::Closing:
+        return "closing";
     }
     return "unknown";
 }
@@ -93,7 +97,7 @@
     runtime::Signal settled;
 };
 
-/** One open connection. All but `isBusy` is used only on its own strand. */
+/** One open connection. All but `isBusy` and `hasLastAnswer` is used only on its own strand. */
 struct Connection {
     explicit Connection(tcp::socket connected)
         : stream(std::move(connected))
@@ -103,7 +107,7 @@
     beast::tcp_stream stream;
     /** Bytes received and not yet parsed. */
     beast::flat_buffer buffer;
-    /** True from the first byte of a request until its answer is written. */
+    /** True from the first byte of a request until its answer is written, or until the connection is closed after its last answer. */
     std::atomic<bool> isBusy{false};
     ConnectionState state = ConnectionState::Idle;
     /** When the state began. */
@@ -113,7 +117,7 @@
     /** Null unless a request is being answered. */
     std::shared_ptr<Call> call;
     /** The answer that has been written is the last one on this connection. */
-    bool hasLastAnswer = false;
+    std::atomic<bool> hasLastAnswer{false};
 
     void enter(ConnectionState next)
     {
@@ -211,6 +215,7 @@
     void closeIdle(bool evenBusy);
     void abandonCalls();
     [[nodiscard]] std::size_t openConnections();
+    [[nodiscard]] std::size_t unansweredConnections();
 
     const asio::any_io_executor executor;
     const Limits limits;
@@ -296,6 +301,7 @@
 /** Waits for the peer to close, without reading what it may still send: what is read has to be answered. */
 asio::awaitable<void> Server::State::linger(std::shared_ptr<Connection> connection)
 {
+    connection->enter(ConnectionState::Closing);
     auto &socket = connection->stream.socket();
     const auto until = runtime::Clock::now() + LingerTime;
     beast::error_code error;
@@ -419,6 +425,16 @@
     return connections.size();
 }
 
+/** Open connections that may still owe their peer an answer. */
+std::size_t Server::State::unansweredConnections()
+{
+    const std::scoped_lock lock(mutex);
+    const auto count = std::count_if(connections.begin(), connections.end(), [](const std::shared_ptr<Connection> &connection) {
+        return !connection->hasLastAnswer;
+    });
+    return static_cast<std::size_t>(count);
+}
+
 void Server::State::closeIdle(bool evenBusy)
 {
     const std::scoped_lock lock(mutex);
@@ -427,7 +443,7 @@
             asio::post(connection->stream.get_executor(), [connection, evenBusy] {
                 beast::error_code ignored;
                 const bool isIdle = !connection->isBusy && connection->stream.socket().available(ignored) == 0;
-                if (connection->isBusy && evenBusy) {
+                if (connection->isBusy && evenBusy && !connection->hasLastAnswer) {
                     log::write(log::Severity::Warning, "connection cut", connection->fields());
                 }
                 if (isIdle || evenBusy) {
@@ -501,7 +517,7 @@
         state->closeIdle(false);
         co_await runtime::sleepFor(DrainPollInterval);
     }
-    const std::size_t cut = state->openConnections();
+    const std::size_t cut = state->unansweredConnections();
     state->closeIdle(true);
     co_return cut;
 }
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -34,7 +34,7 @@
     /**
      * Stops accepting, lets requests in flight finish and closes connections that stay idle for 100 ms. What has no answer at the deadline
      * is answered then: 503 if its method changes nothing, 504 otherwise. Returns when all connections are closed, at the latest 200 ms
-     * after the deadline, with the number of those then cut.
+     * after the deadline, with the number of those then cut before their last answer.
      */
     boost::asio::awaitable<std::size_t> drain(runtime::Instant deadline);
 
--- a/tests/http/http_test.cpp
+++ b/tests/http/http_test.cpp
@@ -292,3 +292,30 @@
     INFO(received.size() << " bytes");
     REQUIRE(received.size() > body.size());
 }
+
+TEST_CASE("An answer during a drain arrives whole though its caller sends more before reading it")
+{
+    namespace asio = boost::asio;
+    const std::string body(1'000'000, 'x');
+    SlowServer slow(300ms);
+    asio::ip::tcp::socket caller(slow.context);
+    caller.open(asio::ip::tcp::v4());
+    caller.set_option(asio::socket_base::receive_buffer_size(4096));
+    caller.connect({asio::ip::make_address("127.0.0.1"), slow.server->port()});
+    const std::string request = "POST /large HTTP/1.1\r\nHost: a\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    asio::async_write(caller, asio::buffer(request), [](const boost::system::error_code &, std::size_t) {});
+    slow.run(100ms);
+    slow.startDrain(soon());
+    const auto deadline = soon();
+    while (caller.available() == 0 && runtime::Clock::now() < deadline) {
+        slow.run(1ms);
+    }
+    slow.run(30ms);
+    asio::write(caller, asio::buffer(std::string("GET /second HTTP/1.1\r\n")));
+    std::string received;
+    asio::async_read(caller, asio::dynamic_buffer(received), [](const boost::system::error_code &, std::size_t) {});
+    slow.run(2s);
+    INFO(received.size() << " bytes");
+    REQUIRE(received.size() > body.size());
+    REQUIRE(slow.cut == 0U);
+}
