batch, platform: Ask a leader no longer than the caller waits

A call for the number of waiting jobs asks the leader for up to 600 ms at a time, whatever its caller had left. If the leader was silent, the answer was ready up to 350 ms after the caller had stopped waiting, or after a stopping entry's time to answer, though 503 was possible before.

The question now ends with the caller's time, or the entry's, whichever is sooner.

--- a/src/batch/job_request_handler.h
+++ b/src/batch/job_request_handler.h
@@ -94,7 +94,7 @@
 class JobRequestHandler
 {
 public:
-    using AskPending = std::function<asio::awaitable<PendingResult>()>;
+    using AskPending = std::function<asio::awaitable<PendingResult>(runtime::Instant deadline)>;
 
     JobRequestHandler(Store &store, PolicyHolder &policy, metrics::Registry &metrics, AskPending askPending)
         : m_store(store)
@@ -260,7 +260,7 @@
         const auto begin = runtime::Clock::now();
         PendingResult result{std::nullopt, "", "too little time left"};
         while (hasTime(caller)) {
-            result = co_await m_askPending();
+            result = co_await m_askPending(deadlineOf(caller) - ReplyMargin);
             if (result.reply) {
                 const PendingReply &reply = *result.reply;
                 Answer answer{AnswerKind::Count, {}, 0, {}, ""};
--- a/tests/batch/job_request_handler_test.cpp
+++ b/tests/batch/job_request_handler_test.cpp
@@ -19,7 +19,7 @@
     Fixture()
         : store(data)
         , policy(context.get_executor(), 4s)
-        , handler(store, policy, metrics, []() -> boost::asio::awaitable<batch::PendingResult> {
+        , handler(store, policy, metrics, [](runtime::Instant) -> boost::asio::awaitable<batch::PendingResult> {
             co_return batch::PendingResult{std::nullopt, "127.0.0.1:1", "not in office"};
         })
     {
--- a/tests/batch/refused_though_recorded_test.cpp
+++ b/tests/batch/refused_though_recorded_test.cpp
@@ -36,7 +36,7 @@
                       return std::vector<wire::Address>{{"127.0.0.1", server->port()}};
                   })
         , policy(context.get_executor(), ConfirmationLifetime)
-        , handler(relayed, policy, metrics, []() -> boost::asio::awaitable<batch::PendingResult> {
+        , handler(relayed, policy, metrics, [](runtime::Instant) -> boost::asio::awaitable<batch::PendingResult> {
             co_return batch::PendingResult{std::nullopt, "", "not asked"};
         })
     {
--- a/tests/platform/entry_stop_test.cpp
+++ b/tests/platform/entry_stop_test.cpp
@@ -1,4 +1,4 @@
-/** Callers' requests at an entry that stops: each gets a whole answer, within the time that the platform gives a stop. */
+/** Callers' requests at an entry that stops, or whose leader is silent: each gets a whole answer, within its time. */
 #include <catch2/catch.hpp>
 
 #include <memory>
@@ -11,13 +11,17 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
+#include "batch/records.h"
 #include "http/client.h"
+#include "metrics/registry.h"
 #include "platform/entry.h"
 #include "platform/soak/callers.h"
 #include "platform/soak/store.h"
+#include "platform/store_client.h"
 #include "runtime/timer.h"
 #include "standins/program.h"
 #include "support/run.h"
+#include "wire/codec.h"
 
 using namespace plantainfork;
 using namespace std::chrono_literals;
@@ -53,7 +57,7 @@
         return probe.local_endpoint().port();
     }
 
-    Running &addEntry(const std::string &id)
+    Running &addEntry(const std::string &id, std::chrono::milliseconds grace = Grace)
     {
         auto running = std::make_unique<Running>();
         running->settings.role = wire::MemberRole::Entry;
@@ -62,7 +66,7 @@
         running->settings.http = {"127.0.0.1", freePort(context)};
         running->settings.readiness = {"127.0.0.1", freePort(context)};
         running->settings.store = {"127.0.0.1", storeServer->port()};
-        running->settings.drainLimit = Grace;
+        running->settings.drainLimit = grace;
         auto entry = platform::Entry::create(context.get_executor(), running->settings);
         REQUIRE(entry.ok());
         running->entry = std::move(*entry);
@@ -92,6 +96,21 @@
         REQUIRE(status == 200);
     }
 
+    /** Gives the office to a process that accepts connections and says nothing. */
+    void addSilentLeader()
+    {
+        silentLeader.emplace(context, boost::asio::ip::tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0));
+        platform::StoreClient client(context.get_executor(), {"127.0.0.1", storeServer->port()}, metrics);
+        const auto session = tests::runOn(context, client.createSession(60s, runtime::Clock::now() + 5s));
+        REQUIRE(session.ok());
+        store::Write lock;
+        lock.kind = store::Write::Kind::Lock;
+        lock.key = std::string(batch::keys::Leader);
+        lock.value = wire::encode(batch::LeaderRecord{base::MemberId("silent"), {"127.0.0.1", silentLeader->local_endpoint().port()}});
+        lock.session = *session;
+        REQUIRE(tests::runOn(context, client.transact({lock}, runtime::Clock::now() + 5s)).outcome == store::WriteOutcome::Applied);
+    }
+
     void startStop(Running &entry)
     {
         boost::asio::co_spawn(context, entry.entry->stop(), [&entry](const std::exception_ptr &) {
@@ -100,6 +119,8 @@
     }
 
     boost::asio::io_context context;
+    metrics::Registry metrics;
+    std::optional<boost::asio::ip::tcp::acceptor> silentLeader;
     soak::Store store;
     std::unique_ptr<http::Server> storeServer;
     std::vector<std::unique_ptr<Running>> entries;
@@ -155,3 +176,26 @@
     REQUIRE(entry.stoppedAt.has_value());
     CHECK(*entry.stoppedAt - begin < Grace);
 }
+
+TEST_CASE("A call for waiting jobs is answered while its caller waits, though the leader is silent")
+{
+    Fixture fixture;
+    fixture.addSilentLeader();
+    auto &entry = fixture.addEntry("entry-1");
+    const auto limit = runtime::Clock::now() + 60s;
+    const auto patience = 1000ms;
+    runtime::Clock::duration took{0};
+    http::Exchange exchange;
+    // Until the policy is known, calls are refused at once.
+    while (took < patience / 2 && runtime::Clock::now() < limit) {
+        const auto begin = runtime::Clock::now();
+        exchange = tests::runOn(fixture.context, fixture.askPending(entry, patience));
+        took = runtime::Clock::now() - begin;
+        tests::runOn(fixture.context, runtime::sleepFor(20ms));
+    }
+    INFO(exchange.response.status());
+    REQUIRE(exchange.delivery == http::Delivery::Answered);
+    CHECK(exchange.response->status == 503);
+    CHECK(took > patience / 2);
+    CHECK(took < patience);
+}
--- a/tests/platform/policy_feed_test.cpp
+++ b/tests/platform/policy_feed_test.cpp
@@ -125,9 +125,12 @@
 {
     PolicyOverSlowLine entry(10'000'000);
     entry.setQueue();
-    batch::JobRequestHandler<RelayedStore> handler(entry.relayed, entry.holder, entry.metrics, []() -> boost::asio::awaitable<batch::PendingResult> {
-        co_return batch::PendingResult{std::nullopt, "", "not asked"};
-    });
+    batch::JobRequestHandler<RelayedStore> handler(entry.relayed,
+                                                   entry.holder,
+                                                   entry.metrics,
+                                                   [](runtime::Instant) -> boost::asio::awaitable<batch::PendingResult> {
+                                                       co_return batch::PendingResult{std::nullopt, "", "not asked"};
+                                                   });
     batch::JobSpec spec;
     spec.id = base::JobId("large");
     spec.steps.resize(1);
