batch, platform: Give up the office within the limit of a stop

A stopping leader waited up to 1.5 s for the store before it drained its connections, also where the platform ends it sooner. It would be killed then, with its callers' connections open.

If the store didn't hear of it, the lease ends by itself.

--- a/src/batch/scheduler.h
+++ b/src/batch/scheduler.h
@@ -72,8 +72,8 @@
             });
     }
 
-    /** Releases the lease if this entry holds it, so that another entry need not wait for it to expire. */
-    asio::awaitable<void> stop()
+    /** Releases the lease if this entry holds it, so that another entry need not wait for it to expire. Returns at the deadline at the latest. */
+    asio::awaitable<void> stop(runtime::Instant deadline)
     {
         m_isStopping = true;
         m_wake.notify();
@@ -83,7 +83,7 @@
             const auto session = m_term->session;
             m_term->notifyAllHosts();
             const auto begin = runtime::Clock::now();
-            const auto ended = co_await m_store.destroySession(session, storeDeadline());
+            const auto ended = co_await m_store.destroySession(session, std::min(storeDeadline(), deadline));
             const auto took = std::chrono::duration_cast<std::chrono::milliseconds>(runtime::Clock::now() - begin);
             log::write(log::Severity::Info, "office given up", {{"status", std::string(ended.message())}, {"took_ms", std::to_string(took.count())}});
         }
--- a/tests/batch/scheduler_test.cpp
+++ b/tests/batch/scheduler_test.cpp
@@ -112,7 +112,7 @@
     void stop()
     {
         for (const auto &entry : entries) {
-            tests::runOn(context, entry->scheduler->stop());
+            tests::runOn(context, entry->scheduler->stop(runtime::Clock::now() + 5s));
         }
         entries.clear();
     }
@@ -415,8 +415,8 @@
     };
     runUntilLeaderIs(follower, first.settings.rpc);
     // Both stop, as when entries are restarted one after the other: the leader and one that isn't in office.
-    tests::runOn(fixture.context, follower.scheduler->stop());
-    tests::runOn(fixture.context, first.scheduler->stop());
+    tests::runOn(fixture.context, follower.scheduler->stop(runtime::Clock::now() + 5s));
+    tests::runOn(fixture.context, first.scheduler->stop(runtime::Clock::now() + 5s));
     auto &successor = fixture.addEntry("e3");
     fixture.syncUntil(successor, isFromLeader);
     const auto limit = runtime::Clock::now() + 1s;
@@ -437,7 +437,7 @@
     while (entry.store.writes() == 0 && runtime::Clock::now() < deadline) {
         tests::runOn(fixture.context, runtime::sleepFor(2ms));
     }
-    tests::runOn(fixture.context, entry.scheduler->stop());
+    tests::runOn(fixture.context, entry.scheduler->stop(runtime::Clock::now() + 5s));
     tests::runOn(fixture.context, runtime::sleepFor(500ms));
     CHECK_FALSE(fixture.sendSync(entry).isLeader);
     const auto record = fixture.data->read(std::string(batch::keys::Leader), false);
--- a/tests/platform/entry_stop_test.cpp
+++ b/tests/platform/entry_stop_test.cpp
@@ -199,3 +199,19 @@
     CHECK(took > patience / 2);
     CHECK(took < patience);
 }
+
+TEST_CASE("A stop ends within a limit that is shorter than a call to a store without an answer")
+{
+    constexpr std::chrono::milliseconds ShortGrace{1000};
+    Fixture fixture;
+    auto &entry = fixture.addEntry("entry-1", ShortGrace);
+    fixture.runUntilCounted(entry);
+    const auto begin = runtime::Clock::now();
+    fixture.store.setMode(soak::StoreMode::Silent);
+    fixture.startStop(entry);
+    while (!entry.stoppedAt && runtime::Clock::now() - begin < ShortGrace + 2s) {
+        tests::runOn(fixture.context, runtime::sleepFor(10ms));
+    }
+    REQUIRE(entry.stoppedAt.has_value());
+    CHECK(*entry.stoppedAt - begin < ShortGrace);
+}
