batch: Let an open call outlive the list that counts it

A request that a drain gave up goes on at its handler until the process ends. Its coroutine is then destroyed with the event loop, after the entry, and took itself off a list that was freed already.

Test "A call that outlives its entry, as one without an answer does when the process ends, leaves the freed list alone": built alone with the address sanitizer, heap-use-after-free before, none now.

--- a/src/batch/open_calls.h
+++ b/src/batch/open_calls.h
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <list>
+#include <memory>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -27,37 +28,47 @@
         runtime::Instant deadline;
     };
 
+private:
+    struct Calls {
+        std::list<Call> list;
+        metrics::Gauge &count;
+    };
+
+public:
     /** Counts a call as open during its lifetime. */
     class Guard
     {
     public:
         Guard(OpenCalls &calls, Call call)
-            : m_calls(calls)
-            , m_place(calls.m_calls.insert(calls.m_calls.end(), std::move(call)))
+            : m_calls(calls.m_calls)
+            , m_place(calls.m_calls->list.insert(calls.m_calls->list.end(), std::move(call)))
         {
-            m_calls.m_count.add(1);
+            calls.m_calls->count.add(1);
         }
         Guard(const Guard &) = delete;
         Guard &operator=(const Guard &) = delete;
         ~Guard()
         {
-            m_calls.m_calls.erase(m_place);
-            m_calls.m_count.add(-1);
+            if (const auto calls = m_calls.lock()) {
+                calls->list.erase(m_place);
+                calls->count.add(-1);
+            }
         }
 
     private:
-        OpenCalls &m_calls;
+        /** Expired if the process ends with the call open: its coroutine is destroyed after the entry. */
+        std::weak_ptr<Calls> m_calls;
         std::list<Call>::iterator m_place;
     };
 
     explicit OpenCalls(metrics::Registry &metrics)
-        : m_count(metrics.gauge("plantainfork_batch_open_calls"))
+        : m_calls(std::make_shared<Calls>(Calls{{}, metrics.gauge("plantainfork_batch_open_calls")}))
     {
     }
 
     [[nodiscard]] std::size_t size() const
     {
-        return m_calls.size();
+        return m_calls->list.size();
     }
 
     /** Writes a line for each open call. */
@@ -66,7 +77,7 @@
         const auto milliseconds = [](runtime::Clock::duration duration) {
             return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
         };
-        for (const auto &call : m_calls) {
+        for (const auto &call : m_calls->list) {
             log::write(log::Severity::Warning,
                        event,
                        {{"request", call.requestId},
@@ -78,8 +89,7 @@
     }
 
 private:
-    std::list<Call> m_calls;
-    metrics::Gauge &m_count;
+    std::shared_ptr<Calls> m_calls;
 };
 
 } // namespace plantainfork::batch
