http: Answer the request of a connection beyond the limit

A connection beyond the limit was closed as soon as it was accepted, and its caller saw a reset: whether the request was served, it couldn't know.

Up to 64 connections beyond the limit are now open at a time, for a second at most until their first request is whole. It is answered with 503 and Retry-After, and the connection closes. Further ones are still closed at once.

Test "A caller beyond the limit of connections hears so": nothing received before, 503 now.

--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -42,9 +42,15 @@
 constexpr std::chrono::milliseconds FarewellTime{200};
 /** Space for the first bytes of a request; most requests fit. */
 constexpr std::size_t FirstReadBytes = 4096;
+/** Connections beyond the limit that are open at a time, each until it has been told so. */
+constexpr std::size_t MaxTurnedAway = 64;
+/** Time in which a connection beyond the limit may send its request. */
+constexpr std::chrono::milliseconds TurnAwayTimeout{1000};
 /** Pause after an accept that failed for want of descriptors or memory. */
 constexpr std::chrono::milliseconds AcceptRetryDelay{20};
 
+constexpr const char *StoppingReason = "this server is stopping";
+
 using BeastRequest = beast::http::request<beast::http::string_body>;
 using BeastResponse = beast::http::response<beast::http::string_body>;
 
@@ -99,12 +105,15 @@
 
 /** One open connection. All but `isBusy` and `hasLastAnswer` is used only on its own strand. */
 struct Connection {
-    explicit Connection(tcp::socket connected)
+    Connection(tcp::socket connected, bool isBeyondLimit)
         : stream(std::move(connected))
+        , isTurnedAway(isBeyondLimit)
     {
     }
 
     beast::tcp_stream stream;
+    /** It is beyond the limit of connections: its first request is refused, and it is closed. */
+    const bool isTurnedAway;
     /** Bytes received and not yet parsed. */
     beast::flat_buffer buffer;
     /** True from the first byte of a request until its answer is written, or until the connection is closed after its last answer. */
@@ -171,9 +180,9 @@
 }
 
 /** The answer to a request that has had no effect. */
-Response notServedAnswer()
+Response notServedAnswer(const std::string &reason)
 {
-    Response response = Response::text(503, "this server is stopping; the request was not served\n");
+    Response response = Response::text(503, reason + "; the request was not served\n");
     response.headers.push_back({"Retry-After", "1"});
     return response;
 }
@@ -190,7 +199,7 @@
     if (!isSafe(method)) {
         return Response::text(504, "this server is stopping; the request may have taken effect\n");
     }
-    return notServedAnswer();
+    return notServedAnswer(StoppingReason);
 }
 
 } // namespace
@@ -252,13 +261,17 @@
 {
     boost::system::error_code ignored;
     socket.set_option(tcp::no_delay(true), ignored);
-    auto connection = std::make_shared<Connection>(std::move(socket));
+    std::shared_ptr<Connection> connection;
     {
         const std::scoped_lock lock(mutex);
-        if (connections.size() >= limits.connections) {
+        const bool isBeyondLimit = connections.size() >= limits.connections;
+        if (isBeyondLimit) {
             log::write(log::Severity::Warning, "connection rejected", {{"reason", "limit reached"}, {"open", std::to_string(connections.size())}});
+        }
+        if (connections.size() >= limits.connections + MaxTurnedAway) {
             return;
         }
+        connection = std::make_shared<Connection>(std::move(socket), isBeyondLimit);
         connections.push_back(connection);
     }
     asio::co_spawn(connection->stream.get_executor(), serve(connection), asio::detached);
@@ -324,7 +337,8 @@
     beast::http::request_parser<beast::http::string_body> parser;
     parser.header_limit(static_cast<std::uint32_t>(limits.headerBytes));
     parser.body_limit(limits.bodyBytes);
-    connection.stream.expires_after(limits.idleTimeout);
+    const std::chrono::milliseconds patience = connection.isTurnedAway ? std::min(limits.idleTimeout, TurnAwayTimeout) : limits.idleTimeout;
+    connection.stream.expires_after(patience);
     beast::error_code error;
     if (connection.buffer.size() == 0) {
         const auto space = connection.buffer.prepare(FirstReadBytes);
@@ -336,7 +350,7 @@
     }
     connection.request.clear();
     connection.enter(ConnectionState::Reading);
-    connection.stream.expires_after(limits.idleTimeout);
+    connection.stream.expires_after(patience);
     co_await beast::http::async_read(connection.stream, connection.buffer, parser, asio::redirect_error(asio::use_awaitable, error));
     const bool isBadRequest = error && error.category() == beast::http::make_error_code(beast::http::error::bad_method).category()
         && error != beast::http::error::end_of_stream && error != beast::http::error::partial_message;
@@ -345,11 +359,13 @@
     }
     connection.stream.expires_never();
     const unsigned version = error ? 11 : parser.get().version();
-    const bool wantsKeepAlive = !error && parser.get().keep_alive();
+    const bool wantsKeepAlive = !error && !connection.isTurnedAway && parser.get().keep_alive();
     Response response;
     std::string target;
     if (error) {
         response = refusal(error);
+    } else if (connection.isTurnedAway) {
+        response = notServedAnswer("too many connections");
     } else {
         target = std::string(parser.get().target());
         connection.request = std::string(parser.get().method_string()) + " " + target;
@@ -378,7 +394,7 @@
 asio::awaitable<Response> Server::State::answer(Connection &connection, Request request)
 {
     if (isClosing) {
-        co_return notServedAnswer();
+        co_return notServedAnswer(StoppingReason);
     }
     const auto strand = connection.stream.get_executor();
     const auto call = std::make_shared<Call>(strand);
--- a/tests/http/http_test.cpp
+++ b/tests/http/http_test.cpp
@@ -319,3 +319,19 @@
     REQUIRE(received.size() > body.size());
     REQUIRE(slow.cut == 0U);
 }
+
+TEST_CASE("A caller beyond the limit of connections hears so")
+{
+    http::Limits limits;
+    limits.connections = 1;
+    SlowServer slow(0ms, limits);
+    slow.run(20ms);
+    boost::asio::ip::tcp::socket second(slow.context);
+    second.connect({boost::asio::ip::make_address("127.0.0.1"), slow.server->port()});
+    boost::asio::write(second, boost::asio::buffer(std::string("GET /beyond HTTP/1.1\r\nHost: a\r\n\r\n")));
+    std::string received;
+    boost::asio::async_read(second, boost::asio::dynamic_buffer(received), [](const boost::system::error_code &, std::size_t) {});
+    slow.run(500ms);
+    INFO(received);
+    REQUIRE(received.rfind("HTTP/1.1 503", 0) == 0);
+}
