http: Send no body in the answer to HEAD

The body of an answer to HEAD was sent like that to GET. On a kept connection its caller took these bytes for the begin of the next answer.

--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -359,6 +359,7 @@
     }
     connection.stream.expires_never();
     const unsigned version = error ? 11 : parser.get().version();
+    const bool isHead = !error && parser.get().method() == beast::http::verb::head;
     const bool wantsKeepAlive = !error && !connection.isTurnedAway && parser.get().keep_alive();
     Response response;
     std::string target;
@@ -379,6 +380,10 @@
     const bool keepAlive = wantsKeepAlive && (!isDraining || hasMoreRequests);
     const unsigned status = response.status;
     BeastResponse message = toBeast(std::move(response), version, keepAlive);
+    if (isHead) {
+        // Content-Length stays that of the answer to GET (RFC 9110, 9.3.2).
+        message.body().clear();
+    }
     connection.stream.expires_after(limits.idleTimeout);
     connection.enter(ConnectionState::Writing);
     co_await beast::http::async_write(connection.stream, message, asio::redirect_error(asio::use_awaitable, error));
--- a/tests/http/http_test.cpp
+++ b/tests/http/http_test.cpp
@@ -335,3 +335,15 @@
     INFO(received);
     REQUIRE(received.rfind("HTTP/1.1 503", 0) == 0);
 }
+
+TEST_CASE("The answer to a HEAD request isn't followed by a body that its caller takes for the next answer")
+{
+    SlowServer slow(0ms);
+    slow.send("HEAD /first HTTP/1.1\r\nHost: a\r\n\r\nGET /second HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+    slow.run(500ms);
+    INFO(slow.received);
+    REQUIRE(slow.received.rfind("HTTP/1.1 200", 0) == 0);
+    const std::string afterFirst = slow.received.substr(slow.received.find("\r\n\r\n") + 4);
+    REQUIRE(afterFirst.rfind("HTTP/1.1 200", 0) == 0);
+    REQUIRE(afterFirst.find("GET /second") != std::string::npos);
+}
