settings: Refuse a number that is none

NaN passed the check of a number's range, as it is neither below nor above its ends; rounding a limit of a stop that isn't a number is undefined.

Test "A number that is none is a finding, not a setting within its range": failed before for drain_limit_s, passes now.

--- a/src/settings/reader.cpp
+++ b/src/settings/reader.cpp
@@ -79,7 +79,8 @@
         report(place, key, "must be a number");
         return std::nullopt;
     }
-    if (*value < lowest || *value > highest) {
+    const bool isInRange = *value >= lowest && *value <= highest;
+    if (!isInRange) {
         std::ostringstream range;
         range << "must be from " << lowest << " to " << highest;
         report(place, key, range.str());
--- a/tests/batch/settings_test.cpp
+++ b/tests/batch/settings_test.cpp
@@ -69,3 +69,11 @@
         CHECK(std::get<batch::Settings>(seconds).drainLimit == std::chrono::milliseconds(expected));
     }
 }
+
+TEST_CASE("A number that is none is a finding, not a setting within its range")
+{
+    for (const std::string key : {"drain_limit_s", "processor_share", "remote_factor"}) {
+        INFO(key);
+        REQUIRE(std::holds_alternative<base::Findings>(batch::parseSettings(Valid + key + " = nan\n", "node.toml")));
+    }
+}
