batch: Start nothing while the executor doesn't answer

A start's deadline is on the executor's clock, and lengthens its lease. After a call for the runs without an answer, starts still went out by the last reading of the clock; an executor that had restarted under its id took a lease of up to 10 s from them. Starts now wait, as the lease's renewal does, until a call for the runs has been answered again; in calm nothing waits. The end of the wait wakes them at once.

Three tests required a start to an executor that is away, which is the fault, and failed with the fix. The two others send the start just before the executor goes away, and require what they required; both fail if an unanswered start is dropped or any answer is believed.

--- a/src/batch/agent.h
+++ b/src/batch/agent.h
@@ -486,7 +486,8 @@
             const auto executorNow = m_clock.now();
             // Orders of an earlier term may hold runs that have been given up since; the next leader's token would let them start all the same.
             const bool isOrderCurrent = m_ordersToken == m_token && m_listToken == m_token;
-            if (!isOrderCurrent || runtime::Clock::now() >= m_grantUntil || !executorNow) {
+            // After a call without an answer, the next one may meet another life with a clock of its own.
+            if (!isOrderCurrent || runtime::Clock::now() >= m_grantUntil || !executorNow || !m_isExecutorReached) {
                 co_await m_ordersChanged.waitUntil(runtime::Clock::now() + HoldRetryDelay);
                 continue;
             }
@@ -496,12 +497,9 @@
             }
             const RunOrder order = found->second;
             const bool isFirstStart = m_possibleRuns.addStart(run, runtime::Clock::now());
-            const bool isExecutorAway = !m_isExecutorReached;
             const auto answerDeadline = runtime::Clock::now() + OrderTimeout;
             const auto result = co_await m_port.start(order, incarnation, m_token, startDeadline(*executorNow), answerDeadline);
-            // An executor that has crashed may still accept connections, which end without an answer. One that stays silent may start the run later.
-            const bool isSilent = runtime::Clock::now() >= answerDeadline;
-            const bool mayRun = result.outcome == StartOutcome::Started || (result.outcome == StartOutcome::Unknown && (!isExecutorAway || isSilent));
+            const bool mayRun = result.outcome == StartOutcome::Started || result.outcome == StartOutcome::Unknown;
             if (!mayRun && isFirstStart && !isListed(run)) {
                 m_possibleRuns.removeStart(run, !isCurrentIncarnation(incarnation));
             }
@@ -511,8 +509,8 @@
                 logRun("run started", run, result.reason);
                 if (isCurrentIncarnation(incarnation)) {
                     m_unlisted.insert(run);
-                    // An executor that was away may have crashed, and its next life may have answered.
-                    if (!isExecutorAway) {
+                    // An executor that isn't reached may have crashed, and its next life may have answered.
+                    if (m_isExecutorReached) {
                         m_possibleRuns.confirmStart(run);
                     }
                 }
@@ -634,6 +632,7 @@
         if (!std::exchange(m_isExecutorReached, true)) {
             log::write(log::Severity::Info, "executor reached", {{"instance", incarnation.instance}});
             markChanged();
+            m_ordersChanged.notify();
         }
         applyListing(*listing, request.token, sequence);
         co_return true;
