--- a/tests/batch/open_calls_test.cpp
+++ b/tests/batch/open_calls_test.cpp
@@ -15,8 +15,8 @@
     auto metrics = std::make_unique<metrics::Registry>();
     auto calls = std::make_unique<batch::OpenCalls>(*metrics);
     const auto now = runtime::Clock::now();
-    std::optional<batch::OpenCalls::Guard> first(std::in_place, *calls, batch::OpenCalls::Call{"status", "/q/1", now, now + 1s});
-    std::optional<batch::OpenCalls::Guard> second(std::in_place, *calls, batch::OpenCalls::Call{"status", "/q/2", now, now + 1s});
+    std::optional<batch::OpenCalls::Guard> first(std::in_place, *calls, batch::OpenCalls::Call{"status", "request-1", "/q/1", now, now + 1s});
+    std::optional<batch::OpenCalls::Guard> second(std::in_place, *calls, batch::OpenCalls::Call{"status", "request-1", "/q/2", now, now + 1s});
     REQUIRE(calls->size() == 2);
     first.reset();
     REQUIRE(calls->size() == 1);
