platform, soak: Start an entry again after its second stop

The soak's own error: the first of two signals to stop found the entry down; the second came 11.089 s into the run, 1.3 s after its next start, from outside of what starts it again, so it stayed down ('daemon stopped' is the last line of its log, and the soak found it still running when it looked). The second signal is now a stop like any other.

--- a/tests/platform/soak/site.cpp
+++ b/tests/platform/soak/site.cpp
@@ -407,8 +407,7 @@
     case FaultKind::StopTwice:
         stop(fault.target);
         co_await runtime::sleepFor(share(LongestSecondStop));
-        static_cast<void>(entry.process.signal(SIGTERM));
-        co_return;
+        co_return stop(fault.target);
     case FaultKind::StopStarting:
         co_await keepDown(entry, SIGTERM, fault.length);
         co_await runtime::sleepFor(share(LongestStart));
