--- a/src/batch/fit_search.cpp
+++ b/src/batch/fit_search.cpp
@@ -178,7 +178,7 @@
         trials[i] = left[i] > 0 ? tryHost(state, candidate, source, fit, taken[i]) : HostTrial();
     };
     for (std::size_t i = 0; i < hosts.size(); ++i) {
-        left[i] = Occupancy::remainingPerHost(m_occupancy.hosts()[hosts[i]], candidate);
+        left[i] = m_occupancy.remainingPerHost(m_occupancy.hosts()[hosts[i]], candidate);
         tryAgain(i);
     }
     while (fit.hosts.size() < members) {
--- a/src/batch/job.cpp
+++ b/src/batch/job.cpp
@@ -94,12 +94,27 @@
     if (task.occurrence >= occurrences || task.step >= spec.steps.size() || task.index >= spec.steps[task.step].tasks) {
         return nullptr;
     }
-    return &units[task.occurrence * unitsPerOccurrence + stepOffsets[task.step] + (spec.steps[task.step].isGang ? 0 : task.index)];
+    return units.find(task.occurrence * unitsPerOccurrence + stepOffsets[task.step] + (spec.steps[task.step].isGang ? 0 : task.index));
+}
+
+Unit *Job::addNextUnit(std::uint32_t occurrence, std::uint32_t step)
+{
+    StepUnits &range = stepUnits[rangeIndex(occurrence, step)];
+    if (range.next >= batch::unitCount(spec.steps[step])) {
+        return nullptr;
+    }
+    Unit unit;
+    unit.occurrence = occurrence;
+    unit.step = step;
+    unit.index = range.next++;
+    unit.waitingSince = waitingSince(occurrence, step);
+    const std::size_t number = occurrence * unitsPerOccurrence + stepOffsets[step] + unit.index;
+    return &units.add(number, std::move(unit));
 }
 
 void Job::setPhase(Unit &unit, UnitPhase phase)
 {
-    std::uint32_t &doneInStep = doneUnits[unit.occurrence * spec.steps.size() + unit.step];
+    std::uint32_t &doneInStep = stepUnits[rangeIndex(unit.occurrence, unit.step)].done;
     if (unit.phase == UnitPhase::Waiting) {
         --waitingUnits;
     } else if (unit.phase == UnitPhase::Done) {
@@ -117,7 +132,7 @@
 
 bool Job::isStepDone(std::uint32_t occurrence, std::uint32_t step) const
 {
-    return doneUnits[occurrence * spec.steps.size() + step] == unitCount(spec.steps[step]);
+    return stepUnits[rangeIndex(occurrence, step)].done == batch::unitCount(spec.steps[step]);
 }
 
 WallTime Job::dueAt(std::uint32_t occurrence) const
@@ -125,20 +140,41 @@
     return WallTime(std::chrono::milliseconds(spec.firstDueMs)) + occurrence * spec.period;
 }
 
-bool Job::isReady(const Unit &unit, WallTime wallNow) const
+Instant Job::waitingSince(std::uint32_t occurrence, std::uint32_t step) const
 {
-    if (isEnded(status) || unit.phase != UnitPhase::Waiting || unit.hasMembers()) {
-        return false;
+    const auto released = releasedAt.find(rangeIndex(occurrence, step));
+    if (released != releasedAt.end()) {
+        return released->second;
     }
-    if (spec.occurrences > 0 && wallNow < dueAt(unit.occurrence)) {
+    return spec.occurrences == 0 ? acceptedAt : std::max(acceptedAt, firstDueAt + occurrence * spec.period);
+}
+
+bool Job::isStepReady(std::uint32_t occurrence, std::uint32_t step, WallTime wallNow) const
+{
+    if (isEnded(status) || (spec.occurrences > 0 && wallNow < dueAt(occurrence))) {
         return false;
     }
-    const auto &dependencies = spec.steps[unit.step].dependsOn;
-    return std::all_of(dependencies.begin(), dependencies.end(), [&](std::uint32_t step) {
-        return isStepDone(unit.occurrence, step);
+    const auto &dependencies = spec.steps[step].dependsOn;
+    return std::all_of(dependencies.begin(), dependencies.end(), [&](std::uint32_t dependency) {
+        return isStepDone(occurrence, dependency);
     });
 }
 
+bool Job::isReady(const Unit &unit, WallTime wallNow) const
+{
+    return unit.phase == UnitPhase::Waiting && !unit.hasMembers() && isStepReady(unit.occurrence, unit.step, wallNow);
+}
+
+std::size_t Job::openTasks() const
+{
+    std::size_t tasks = 0;
+    for (const auto &unit : units) {
+        const bool isOpen = !unit.isFresh() && (unit.phase != UnitPhase::Done || unit.hasMembers());
+        tasks += !isOpen ? 0 : stepOf(unit).isGang ? stepOf(unit).tasks : 1;
+    }
+    return tasks;
+}
+
 TaskId Job::taskOf(const Unit &unit, std::size_t member) const
 {
     const auto index = spec.steps[unit.step].isGang ? static_cast<std::uint32_t>(member) : unit.index;
--- a/src/batch/job_request_handler.cpp
+++ b/src/batch/job_request_handler.cpp
@@ -20,7 +20,14 @@
     if (submission.occurrences > 0 && submission.period > LongestSeries / submission.occurrences) {
         return "the occurrences take more than a hundred years";
     }
-    return findStepsError(submission.steps, submission.occurrences);
+    if (std::string error = findStepsError(submission.steps, submission.occurrences); !error.empty()) {
+        return error;
+    }
+    const std::size_t occurrences = std::max(submission.occurrences, 1U);
+    if (submission.steps.size() * occurrences > JobLimits::StepsOfOccurrences) {
+        return "a job has at most " + std::to_string(JobLimits::StepsOfOccurrences) + " steps in all of its occurrences";
+    }
+    return "";
 }
 
 const Queue *matchQueue(const Policy &policy, const std::string &host, const std::string &path)
@@ -54,6 +61,8 @@
         return "unknown_key";
     case AnswerKind::Invalid:
         return "invalid";
+    case AnswerKind::WorkspaceClosed:
+        return "workspace_closed";
     case AnswerKind::Refused:
         return "refused";
     case AnswerKind::Unclear:
--- a/src/batch/job_request_handler.h
+++ b/src/batch/job_request_handler.h
@@ -14,6 +14,8 @@
 #include <utility>
 #include <vector>
 
+#include "batch/admission_view.h"
+#include "batch/job_shape.h"
 #include "batch/messages.h"
 #include "batch/model.h"
 #include "batch/open_calls.h"
@@ -50,6 +52,8 @@
     NoSuchQueue,
     UnknownKey,
     Invalid,
+    /** The caller's workspace is closed to further jobs; the request had no effect. */
+    WorkspaceClosed,
     /** The request certainly had no effect, and as far as this entry knows no earlier one for the same job either. */
     Refused,
     /** The request may have taken effect or may still do so; a repeat with the same id gives a definite answer. */
@@ -145,9 +149,26 @@
             if (std::string error = findSubmissionError(submission); !error.empty()) {
                 co_return Answer{AnswerKind::Invalid, {}, 0, {}, error};
             }
+            const base::WorkspaceId workspace = workspaceOf(*policy, caller);
+            std::string spec = encodeSpec(caller, id, queue, *policy, submission);
+            if (spec.size() > JobLimits::SpecBytes) {
+                co_return Answer{AnswerKind::Invalid, {}, 0, {}, "a job's record has at most " + std::to_string(JobLimits::SpecBytes) + " bytes"};
+            }
+            if (m_admission.isClosed(workspace)) {
+                if (auto answer = co_await answerClosed(caller, id, workspace)) {
+                    co_return *answer;
+                }
+                reason = "workspace closed";
+                co_await runtime::sleepFor(RetryDelay);
+                continue;
+            }
             const store::Write guard = m_policy.guard();
+            const store::Index admission = m_admission.index(workspace);
             m_recent.begin(id);
-            const auto result = co_await writeIf(guard, keys::job(id, keys::JobPart::Spec), encodeSpec(caller, id, queue, *policy, submission), caller);
+            std::vector<store::Write> conditions;
+            conditions.push_back(guard);
+            conditions.push_back(admissionCheck(workspace));
+            const auto result = co_await writeIf(std::move(conditions), keys::job(id, keys::JobPart::Spec), std::move(spec), caller);
             reason = result.reason;
             if (result.outcome == store::WriteOutcome::NotSent) {
                 m_recent.endUnsent(id);
@@ -178,9 +199,11 @@
                     logRequest("job accepted", id, caller, policy->version, "known already");
                     co_return Answer{AnswerKind::Accepted, {}, 0, {}, ""};
                 }
-                // It was the guard that failed, and revisions never come back: no earlier write with this guard can be carried out any more.
+                // A condition failed, and revisions never come back: no earlier write with these conditions can be carried out any more.
                 m_recent.ruleOut(id, guard.expected);
-                if (guard.expected == m_policy.guard().expected) {
+                const bool isAdmissionKnown = co_await readAdmission(caller, workspace);
+                const bool hasAdmissionChanged = m_admission.index(workspace) != admission;
+                if (isAdmissionKnown && !hasAdmissionChanged && guard.expected == m_policy.guard().expected) {
                     co_await m_policy.changed(std::min(storeDeadlineFor(caller), runtime::Clock::now() + PolicyWatchDelay));
                 }
             }
@@ -238,7 +261,9 @@
             if (isEnded(current.status)) {
                 co_return Answer{AnswerKind::Cancelled, current.status, 0, {}, ""};
             }
-            const auto result = co_await writeIf(guard, keys::job(id, keys::JobPart::Cancel), "", caller);
+            std::vector<store::Write> conditions;
+            conditions.push_back(guard);
+            const auto result = co_await writeIf(std::move(conditions), keys::job(id, keys::JobPart::Cancel), "", caller);
             if (result.outcome == store::WriteOutcome::Applied) {
                 logRequest("job cancelled", id, caller, m_policy.policy()->version, "written");
                 co_return Answer{AnswerKind::Cancelled, JobStatus::Cancelled, 0, {}, ""};
@@ -307,6 +332,8 @@
     /** Timeout of one store call; shorter than a caller's deadline, to leave time for a retry on a new connection. */
     static constexpr std::chrono::milliseconds StoreCallTimeout{1000};
     static constexpr std::chrono::seconds RetryAfter{1};
+    /** A workspace opens again when its jobs have ended and their records are removed. */
+    static constexpr std::chrono::seconds ClosedRetryAfter{10};
     /**
      * How long an entry whose policy isn't confirmed tries to settle whether a job is recorded. An unclear answer can't tell callers when to
      * come back, and they would use up their repeats while the store is away.
@@ -391,8 +418,7 @@
         spec.id = id;
         spec.queue = queue.id;
         spec.service = queue.service;
-        const auto workspace = policy.keys.find(caller.key);
-        spec.workspace = workspace != policy.keys.end() ? workspace->second : base::WorkspaceId();
+        spec.workspace = workspaceOf(policy, caller);
         spec.payload = submission.payload;
         spec.steps = submission.steps;
         spec.occurrences = submission.occurrences;
@@ -407,10 +433,73 @@
         return wire::encode(spec);
     }
 
-    asio::awaitable<store::WriteResult> writeIf(store::Write guard, std::string key, std::string value, const Caller &caller)
+    [[nodiscard]] static base::WorkspaceId workspaceOf(const Policy &policy, const Caller &caller)
+    {
+        const auto workspace = policy.keys.find(caller.key);
+        return workspace != policy.keys.end() ? workspace->second : base::WorkspaceId();
+    }
+
+    /** The condition that the workspace is still as it was last seen: open, if a job is written. */
+    [[nodiscard]] store::Write admissionCheck(const base::WorkspaceId &workspace) const
+    {
+        store::Write check;
+        check.kind = store::Write::Kind::Check;
+        check.key = keys::admission(workspace);
+        check.expected = m_admission.index(workspace);
+        return check;
+    }
+
+    /** Reads whether the workspace is closed; returns false if the store doesn't answer. */
+    asio::awaitable<bool> readAdmission(Caller caller, base::WorkspaceId workspace)
+    {
+        const auto found = co_await m_store.readPrefix(keys::admission(workspace), readLimitsFor(caller));
+        if (!found.ok()) {
+            co_return false;
+        }
+        for (const auto &entry : found->entries) {
+            if (entry.key == keys::admission(workspace)) {
+                const auto record = wire::decode<AdmissionRecord>(entry.value);
+                m_admission.set(workspace, entry.modified, record.ok() && record->isClosed, runtime::Clock::now());
+            }
+        }
+        co_return true;
+    }
+
+    /** The answer to a caller whose workspace is closed; nothing if it is open again, or if the store can't tell whether the job is recorded. */
+    asio::awaitable<std::optional<Answer>> answerClosed(Caller caller, base::JobId id, base::WorkspaceId workspace)
+    {
+        if (m_admission.shouldReadAgain(workspace, runtime::Clock::now())) {
+            co_await readAdmission(caller, workspace);
+            if (!m_admission.isClosed(workspace)) {
+                co_return std::nullopt;
+            }
+        }
+        // A try whose answer was lost may have recorded the job before the closure, here or at another entry.
+        const store::Index guard = m_policy.guard().expected;
+        const auto known = co_await m_store.readPrefix(keys::jobPrefix(id), readLimitsFor(caller));
+        if (!known.ok()) {
+            co_return std::nullopt;
+        }
+        if (!known->entries.empty()) {
+            logRequest("job accepted", id, caller, 0, "known already");
+            co_return Answer{AnswerKind::Accepted, {}, 0, {}, ""};
+        }
+        // Earlier writes required the workspace's record as it was before the closure.
+        m_recent.ruleOut(id, guard);
+        if (m_recent.mayBeRecorded(id, runtime::Clock::now())) {
+            co_return std::nullopt;
+        }
+        m_metrics.counter("plantainfork_batch_closed_refusals_total", {{"workspace", workspace.value()}}).add();
+        logRequest("job refused", id, caller, 0, "workspace closed");
+        co_return Answer{AnswerKind::WorkspaceClosed,
+                         {},
+                         0,
+                         ClosedRetryAfter,
+                         "the workspace has handed in more jobs than can be kept; this one was not accepted and never runs"};
+    }
+
+    asio::awaitable<store::WriteResult> writeIf(std::vector<store::Write> rows, std::string key, std::string value, const Caller &caller)
     {
-        std::vector<store::Write> rows;
-        rows.push_back(std::move(guard));
         store::Write row;
         row.key = std::move(key);
         row.value = std::move(value);
@@ -490,6 +579,7 @@
     /** Time by which this entry has to answer, since it stops then. */
     runtime::Instant m_answerBy = runtime::Instant::max();
     RecentSubmissions m_recent{RecentLife};
+    AdmissionView m_admission;
 };
 
 } // namespace plantainfork::batch
--- a/src/batch/job_shape.h
+++ b/src/batch/job_shape.h
@@ -20,6 +20,19 @@
 /** Converts resources to an equivalent number of cores, to compare work; an accelerator counts as eight cores. */
 [[nodiscard]] double coreEquivalents(const Resources &need);
 
+struct JobLimits {
+    /** Jobs of up to this many units keep a state for each of them from the start. */
+    static constexpr std::size_t DenseUnits = 64;
+    /** A sparse job starts no further unit while it has this many tasks that have been started and aren't done, so that its record stays small. */
+    static constexpr std::size_t OpenTasks = 4096;
+    /** Steps of all occurrences of a sparse job of which a unit is considered in one round. */
+    static constexpr std::size_t ReadySteps = 256;
+    /** Bytes of the record of an accepted job: what a slow line takes within the timeout of a store call. */
+    static constexpr std::size_t SpecBytes = 128 * 1024;
+    /** Steps of all occurrences of an accepted job. */
+    static constexpr std::size_t StepsOfOccurrences = 20'000;
+};
+
 struct JobShape {
     /** Length of the longest chain of steps that begins with each step, from its start to the end of the job. */
     std::vector<Duration> pathFrom;
--- a/src/batch/occupancy.cpp
+++ b/src/batch/occupancy.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <iterator>
-#include <limits>
 
 namespace plantainfork::batch
 {
@@ -14,6 +13,7 @@
                      const std::set<base::DataCentreId> &evacuated,
                      Instant now)
     : m_workload(workload)
+    , m_bounds(bounds)
     , m_now(now)
 {
     collectHosts(evacuated);
@@ -107,6 +107,7 @@
             host.hasStartingSuspect = host.hasStartingSuspect || unit.isCrashSuspect();
         }
         host.free -= placedUnit.need;
+        ++host.tasks;
         if (job.stepOf(unit).maxTasksPerHost != 0) {
             ++host.tasksPerStep[{&job, unit.occurrence, unit.step}];
         }
@@ -157,6 +158,9 @@
             state.isOpen && report.service == service && (!state.isStalled || isGuaranteed) && (requiredLabel.empty() || report.labels.contains(requiredLabel));
         if (isAllowed) {
             hosts.all.push_back(i);
+            hosts.largest = {std::max(hosts.largest.millicores, report.capacity.millicores),
+                             std::max(hosts.largest.memoryMib, report.capacity.memoryMib),
+                             std::max(hosts.largest.accelerators, report.capacity.accelerators)};
             racks[state.host->rack].push_back(i);
         }
     }
@@ -196,15 +200,16 @@
     return 2 * free.accelerators >= capacity.accelerators && 2 * free.millicores >= capacity.millicores;
 }
 
-unsigned Occupancy::remainingPerHost(const HostState &state, const Candidate &candidate)
+unsigned Occupancy::remainingPerHost(const HostState &state, const Candidate &candidate) const
 {
     const Step &step = candidate.ref.step();
+    const unsigned remaining = state.tasks >= m_bounds.maxTasksPerHost ? 0 : m_bounds.maxTasksPerHost - state.tasks;
     if (step.maxTasksPerHost == 0) {
-        return std::numeric_limits<unsigned>::max();
+        return remaining;
     }
     const auto found = state.tasksPerStep.find({candidate.ref.job, candidate.ref.unit->occurrence, candidate.ref.unit->step});
     const unsigned present = found == state.tasksPerStep.end() ? 0 : found->second;
-    return present >= step.maxTasksPerHost ? 0 : step.maxTasksPerHost - present;
+    return present >= step.maxTasksPerHost ? 0 : std::min(remaining, step.maxTasksPerHost - present);
 }
 
 Resources Occupancy::availableUntil(const HostState &state, Resources free, Instant endsAt)
@@ -246,6 +251,7 @@
 {
     HostState &state = m_hosts[host];
     state.free -= candidate.ref.step().countedNeed();
+    ++state.tasks;
     state.hasStartingTask = true;
     state.hasStartingSuspect = state.hasStartingSuspect || candidate.ref.unit->isCrashSuspect();
     if (candidate.ref.step().maxTasksPerHost != 0) {
--- a/src/batch/occupancy.h
+++ b/src/batch/occupancy.h
@@ -40,6 +40,8 @@
     std::vector<std::pair<Instant, Resources>> releases;
     /** Resources reserved for blocked units, each from the given time on. */
     std::vector<std::pair<Instant, Resources>> reservations;
+    /** Number of tasks on this host that have not ended. */
+    unsigned tasks = 0;
     /** A task on this host is stalled, so only guaranteed jobs are started here. */
     bool isStalled = false;
     /** A task was ordered to start here, in this round or before, and has not been listed as running yet. */
@@ -60,6 +62,8 @@
 struct HostSet {
     std::vector<std::size_t> all;
     std::vector<std::vector<std::size_t>> racks;
+    /** The largest capacity of a host of the set, for each resource by itself. */
+    Resources largest;
 };
 
 class Occupancy
@@ -102,8 +106,8 @@
     [[nodiscard]] const HostSet &hostsThatAreNotSlow(const HostSet &hosts);
     /** Whether at most half of the hosts' accelerators, and at most half of their cores, are in use. */
     [[nodiscard]] bool isMostlyFree(const HostSet &hosts) const;
-    /** How many more tasks of the candidate's step the host may get under Step::maxTasksPerHost. */
-    [[nodiscard]] static unsigned remainingPerHost(const HostState &state, const Candidate &candidate);
+    /** How many more tasks of the candidate's step the host may get under Step::maxTasksPerHost and PlannerBounds::maxTasksPerHost. */
+    [[nodiscard]] unsigned remainingPerHost(const HostState &state, const Candidate &candidate) const;
     /** Subtracts from `free` all reservations that begin before `endsAt`: what a task that runs until then may use. */
     [[nodiscard]] static Resources availableUntil(const HostState &state, Resources free, Instant endsAt);
     /** When the host will have enough free resources for one task, for two and so on, up to `tasks`, if nothing else starts there. */
@@ -129,6 +133,7 @@
     static constexpr std::size_t NoIndex = static_cast<std::size_t>(-1);
 
     Workload &m_workload;
+    const PlannerBounds &m_bounds;
     Instant m_now;
     std::vector<HostState> m_hosts;
     /** Index into m_hosts by Host::number. */
--- a/src/batch/planner.cpp
+++ b/src/batch/planner.cpp
@@ -1,6 +1,7 @@
 #include "batch/planner.h"
 
 #include <algorithm>
+#include <deque>
 #include <map>
 #include <optional>
 #include <string_view>
@@ -16,6 +17,8 @@
 
 /** Time reserved before a draining host leaves for the stop order to reach it and for the end of the run to be reported. */
 constexpr std::chrono::milliseconds DrainStopMargin{500};
+/** Tasks that fitted nowhere and are remembered within a round: each is compared with every later candidate. */
+constexpr std::size_t MaxMisfits = 64;
 
 /** One planning round on a private copy of the hosts' free resources. */
 class PlanningRound
@@ -31,6 +34,9 @@
         , m_fitSearch(m_occupancy, bounds)
         , m_isSharing(workload.fairShare().isOn())
     {
+        for (const Job *job : workload.activeJobs()) {
+            m_openTasks += job->openTasks();
+        }
     }
 
     Plan run()
@@ -38,9 +44,12 @@
         withdrawStartsWithoutRoom();
         const auto candidates = m_order.candidates();
         for (const auto &candidate : candidates) {
-            const std::size_t placedBefore = m_plan.placements.size();
-            planUnit(candidate);
-            noteShareOrder(candidate, m_plan.placements.size() > placedBefore);
+            // Equal units of a step follow one another; once one gets no room, neither would the next.
+            const Candidate *next = &candidate;
+            while (next != nullptr && planNext(*next)) {
+                auto following = m_order.nextOfStep(*next);
+                next = following ? &m_following.emplace_back(std::move(*following)) : nullptr;
+            }
         }
         if (m_isSharing) {
             collectServiceUse(candidates);
@@ -51,10 +60,41 @@
     }
 
 private:
+    /** Plans the unit; returns whether it is placed, or others are stopped for it. */
+    bool planNext(const Candidate &candidate)
+    {
+        const std::size_t placedBefore = m_plan.placements.size();
+        const std::size_t preemptionsBefore = m_preemptions;
+        if (mayOpen(candidate)) {
+            planUnit(candidate);
+        } else {
+            ++m_plan.blocked;
+        }
+        const bool isPlaced = m_plan.placements.size() > placedBefore;
+        noteShareOrder(candidate, isPlaced);
+        const bool hasProgress = isPlaced || m_preemptions > preemptionsBefore;
+        if (hasProgress) {
+            m_order.noteOpened(candidate);
+            m_openTasks += candidate.ref.unit->isFresh() ? WaitingOrder::tasksOf(candidate) : 0;
+        }
+        return hasProgress;
+    }
+
+    /** Whether the state that the unit has once it is started keeps within the bounds on its job and on all jobs. */
+    [[nodiscard]] bool mayOpen(const Candidate &candidate)
+    {
+        const bool isOpen = !candidate.ref.unit->isFresh();
+        return isOpen || (m_openTasks + WaitingOrder::tasksOf(candidate) <= m_bounds.maxOpenTasks && m_order.mayOpen(candidate));
+    }
+
     /** Places the unit; failing that, preempts others for it, or reserves resources. */
     void planUnit(const Candidate &candidate)
     {
         const HostSet &hosts = m_occupancy.allowedHosts(candidate);
+        if (!hosts.largest.covers(candidate.ref.step().countedNeed()) || m_plan.placements.size() >= m_bounds.maxPlacements) {
+            ++m_plan.blocked;
+            return;
+        }
         const bool singleRack = m_fitSearch.requiresSingleRack(candidate, hosts);
         if (!isKnownNotToFit(candidate)) {
             if (auto fit = m_fitSearch.bestFit(candidate, hosts, CapacitySource::Free, singleRack)) {
@@ -202,7 +242,7 @@
         // A gang may lack room for the number of its tasks only, a limit per host counts for its own step only, and a suspect of crashes is
         // kept away from hosts that others may use.
         const bool isKeptApart = candidate.ref.unit->isCrashSuspect();
-        if (!step.isGang && step.maxTasksPerHost == 0 && !isKeptApart) {
+        if (!step.isGang && step.maxTasksPerHost == 0 && !isKeptApart && m_misfits.size() < MaxMisfits) {
             m_misfits.push_back({step.countedNeed(), candidate.runTime, &m_occupancy.allowedHosts(candidate)});
         }
     }
@@ -246,6 +286,7 @@
     /** Stops the victims and withholds their resources for the unit, which starts in a later round once they are free. */
     void preemptFor(const Candidate &candidate, const Fit &fit)
     {
+        ++m_preemptions;
         for (const auto victim : fit.victims) {
             m_occupancy.markStopped(victim);
             m_plan.stops.push_back({m_occupancy.placedUnits()[victim].ref, StopReason::Preempted});
@@ -266,7 +307,7 @@
         std::map<std::string_view, std::vector<std::pair<Instant, std::size_t>>> racks;
         for (const auto index : hosts.all) {
             const HostState &state = m_occupancy.hosts()[index];
-            const auto tasks = static_cast<unsigned>(std::min<std::size_t>(members, Occupancy::remainingPerHost(state, candidate)));
+            const auto tasks = static_cast<unsigned>(std::min<std::size_t>(members, m_occupancy.remainingPerHost(state, candidate)));
             for (const Instant at : m_occupancy.earliestStarts(state, step.countedNeed(), tasks)) {
                 racks[singleRack ? std::string_view(state.host->rack) : std::string_view()].emplace_back(at, index);
             }
@@ -404,6 +445,11 @@
     ShareGroup m_shareGroup;
     unsigned m_reservations = 0;
     std::vector<Misfit> m_misfits;
+    /** Candidates of equal units that were added in this round; ShareGroup points to them. */
+    std::deque<Candidate> m_following;
+    /** Job::openTasks() of all jobs, with the units that start in this round. */
+    std::size_t m_openTasks = 0;
+    std::size_t m_preemptions = 0;
     Plan m_plan;
 };
 
--- a/src/batch/planner_bounds.h
+++ b/src/batch/planner_bounds.h
@@ -2,6 +2,8 @@
 #pragma once
 
 #include <chrono>
+#include <cstddef>
+#include <limits>
 
 namespace plantainfork::batch
 {
@@ -17,6 +19,12 @@
     std::chrono::milliseconds stallTimeout{2200};
     /** Hosts whose runs take at least this many times as long as those of the median host are slow; 0: no host is. */
     double unevenHostRatio = 0;
+    /** No unit is started for the first time beyond this sum of Job::openTasks(), since the leader keeps a state for each of them. */
+    std::size_t maxOpenTasks = std::numeric_limits<std::size_t>::max();
+    /** Units placed in one round. The rest follows in the next ones, so that neither a round nor what it logs and records grows with the backlog. */
+    std::size_t maxPlacements = 4096;
+    /** Maximum number of tasks on one host, which bounds its agent's memory and the size of its messages. */
+    unsigned maxTasksPerHost = 2048;
 };
 
 } // namespace plantainfork::batch
--- a/src/batch/records.h
+++ b/src/batch/records.h
@@ -7,6 +7,8 @@
  *                                       jobs doesn't return every change of state
  *   plantainfork/batch/leader           the leader; released when its lease ends
  *   plantainfork/batch/entries/ID       the address of an entry
+ *   plantainfork/batch/admission/WORKSPACE
+ *                                       the AdmissionRecord of a workspace that has ever been closed, written by the leader only
  *   plantainfork/batch/speeds           the HostSpeedsRecord, written by the leader only
  */
 #pragma once
@@ -54,13 +56,25 @@
     MSGPACK_DEFINE(occurrence, step, index, isDone, attempt, failures, checkpoint, members, crashes);
 };
 
+/** Consecutive units of one step that are done and need no record of their own. */
+struct DoneRange {
+    std::uint32_t occurrence = 0;
+    std::uint32_t step = 0;
+    std::uint32_t first = 0;
+    std::uint32_t count = 0;
+
+    MSGPACK_DEFINE(occurrence, step, first, count);
+};
+
 struct JobState {
     JobStatus status = JobStatus::Queued;
     std::vector<UnitRecord> units;
     /** End time of the job in Unix milliseconds; 0 while it has not ended. */
     std::int64_t endedMs = 0;
+    /** Of a job with many units, by occurrence, step and first unit. A record of an earlier version has a UnitRecord for each unit that is done. */
+    std::vector<DoneRange> doneRanges;
 
-    MSGPACK_DEFINE(status, units, endedMs);
+    MSGPACK_DEFINE(status, units, endedMs, doneRanges);
 };
 
 struct LeaderRecord {
@@ -79,6 +93,14 @@
     MSGPACK_DEFINE(member, rpc, processorShare);
 };
 
+/** Whether a workspace may hand in further jobs. */
+struct AdmissionRecord {
+    base::WorkspaceId workspace;
+    bool isClosed = false;
+
+    MSGPACK_DEFINE(workspace, isClosed);
+};
+
 /** What the leader knows of a host's speed. */
 struct HostSpeedRecord {
     HostId host;
@@ -106,6 +128,7 @@
 inline constexpr std::string_view Leader = "plantainfork/batch/leader";
 inline constexpr std::string_view Speeds = "plantainfork/batch/speeds";
 inline constexpr std::string_view Entries = "plantainfork/batch/entries/";
+inline constexpr std::string_view Admission = "plantainfork/batch/admission/";
 
 enum class JobPart {
     Spec,
@@ -117,6 +140,22 @@
     return std::string(States) + id.value();
 }
 
+/** A name that is too long for a key is replaced by its digest (FNV-1a, 64 bits). */
+inline std::string admission(const base::WorkspaceId &workspace)
+{
+    constexpr std::size_t LongestName = 120;
+    constexpr std::uint64_t OffsetBasis = 14'695'981'039'346'656'037U;
+    constexpr std::uint64_t Prime = 1'099'511'628'211U;
+    if (workspace.value().size() <= LongestName) {
+        return std::string(Admission) + workspace.value();
+    }
+    std::uint64_t digest = OffsetBasis;
+    for (const char character : workspace.value()) {
+        digest = (digest ^ static_cast<unsigned char>(character)) * Prime;
+    }
+    return std::string(Admission) + "digest/" + std::to_string(digest);
+}
+
 inline std::string jobPrefix(const base::JobId &id)
 {
     return std::string(Jobs) + id.value() + "/";
--- a/src/batch/scheduler.h
+++ b/src/batch/scheduler.h
@@ -15,6 +15,7 @@
 #include <utility>
 #include <vector>
 
+#include "batch/admission_records.h"
 #include "batch/candidacy.h"
 #include "batch/job_feed.h"
 #include "batch/loop.h"
@@ -49,6 +50,7 @@
         , m_planner(plannerBounds(settings))
         , m_feed(store)
         , m_records(settings, store, metrics)
+        , m_admissionRecords(settings, store, metrics)
         , m_speedRecords(settings, store)
         , m_wake(executor)
         , m_roundSeconds(metrics.histogram("plantainfork_batch_round_seconds"))
@@ -166,12 +168,18 @@
     /** Subtracted from the executor's longest lease, for the time that a grant takes to reach the executor. */
     static constexpr std::chrono::milliseconds GrantMargin{500};
 
+    /** Bytes of a leader's whole memory for each open task: about 1,100 for its state, its orders and its part of messages, and the rest for all else. */
+    static constexpr std::size_t MemoryPerOpenTask = 1700;
+
     [[nodiscard]] static PlannerBounds plannerBounds(const Settings &settings)
     {
         PlannerBounds bounds;
         bounds.remoteFactor = settings.remoteFactor;
         bounds.killGrace = settings.killGrace;
         bounds.unevenHostRatio = settings.unevenHostRatio;
+        if (settings.memoryLimitBytes > 0) {
+            bounds.maxOpenTasks = settings.memoryLimitBytes / MemoryPerOpenTask;
+        }
         return bounds;
     }
 
@@ -408,6 +416,11 @@
         spawnLoop(m_executor, "remove expired jobs", [self, term] {
             return self->m_records.removeExpiredJobs(term);
         });
+        if (m_settings.jobMemoryBytes > 0) {
+            spawnLoop(m_executor, "keep admission", [self, term] {
+                return self->m_admissionRecords.keep(term);
+            });
+        }
         if (m_settings.unevenHostRatio > 0) {
             spawnLoop(m_executor, "keep host speeds", [self, term] {
                 return self->m_speedRecords.keep(term);
@@ -503,6 +516,7 @@
         if (m_policy.policy()) {
             term.workload.setPolicy(m_policy.policy());
         }
+        term.workload.removeDoneUnits();
         term.workload.expireSilentHosts(begin, wallNow());
         term.workload.updateHostLosses(begin);
         term.workload.markCheckpoints(begin);
@@ -607,6 +621,7 @@
     Planner m_planner;
     JobFeed<Store> m_feed;
     StateRecords<Store> m_records;
+    AdmissionRecords<Store> m_admissionRecords;
     SpeedRecords<Store> m_speedRecords;
     runtime::Signal m_wake;
     std::shared_ptr<Term> m_term;
--- a/src/batch/settings.cpp
+++ b/src/batch/settings.cpp
@@ -69,6 +69,8 @@
 constexpr double MaxUnevenHostRatio = 10.0;
 /** Part of the process's memory that may hold unfinished requests; the rest is for the jobs, whole requests and the code. */
 constexpr std::size_t ReceiveBudgetDivisor = 4;
+/** Part of the process's memory for accepted jobs. A new leader holds their records beside them while it reads them. */
+constexpr std::size_t JobMemoryDivisor = 5;
 constexpr std::size_t UnknownMemoryBudgetBytes = 64 * MebiBytes;
 constexpr std::size_t EntryBodyBytes = 512 * KibiBytes;
 constexpr std::size_t AgentBodyBytes = MebiBytes;
@@ -124,6 +126,10 @@
     if (const auto value = reader.integer("memory_limit_mb", MemoryLimitRange)) {
         settings.memoryLimitBytes = static_cast<std::size_t>(*value) * MebiBytes;
     }
+    settings.jobMemoryBytes = settings.memoryLimitBytes > 0 ? settings.memoryLimitBytes / JobMemoryDivisor : UnknownMemoryBudgetBytes;
+    if (const auto value = reader.integer("job_memory_mb", MemoryLimitRange)) {
+        settings.jobMemoryBytes = static_cast<std::size_t>(*value) * MebiBytes;
+    }
     ReceiveLimits &limits = settings.receive;
     limits.budgetBytes = settings.memoryLimitBytes > 0 ? settings.memoryLimitBytes / ReceiveBudgetDivisor : UnknownMemoryBudgetBytes;
     limits.bodyBytes = settings.role == wire::MemberRole::Entry ? EntryBodyBytes : AgentBodyBytes;
--- a/src/batch/settings.h
+++ b/src/batch/settings.h
@@ -71,6 +71,8 @@
     double processorShare = 1.0;
     /** Memory that the host grants this process, in bytes; 0: unknown. */
     std::size_t memoryLimitBytes = 0;
+    /** Memory for the jobs that are kept, in bytes, without their started tasks; 0: no bound. */
+    std::size_t jobMemoryBytes = 0;
     ReceiveLimits receive;
     /** PlannerBounds::unevenHostRatio; 0: off. */
     double unevenHostRatio = 0;
--- a/src/batch/term.h
+++ b/src/batch/term.h
@@ -47,6 +47,8 @@
     /** Bytes of records per transaction, unless a single record is larger: a slow line must take them within StoreCallTimeout. */
     static constexpr std::size_t BytesPerTransaction = 128 * 1024;
     static constexpr std::chrono::seconds CleanupInterval{5};
+    /** How often the leader decides which workspaces are closed to further jobs. */
+    static constexpr std::chrono::milliseconds AdmissionInterval{100};
     /** Shortest time between two records of the hosts' speeds. */
     static constexpr std::chrono::seconds SpeedsInterval{5};
 };
--- a/src/batch/waiting_order.cpp
+++ b/src/batch/waiting_order.cpp
@@ -56,7 +56,86 @@
     }
 }
 
-std::vector<Candidate> WaitingOrder::candidates() const
+std::size_t WaitingOrder::tasksOf(const Candidate &candidate)
+{
+    return candidate.ref.step().isGang ? candidate.ref.step().tasks : 1;
+}
+
+bool WaitingOrder::mayOpen(const Candidate &candidate)
+{
+    const Job &job = *candidate.ref.job;
+    if (!job.isSparse() || !candidate.ref.unit->isFresh()) {
+        return true;
+    }
+    auto open = m_openTasks.find(&job);
+    if (open == m_openTasks.end()) {
+        open = m_openTasks.emplace(&job, job.openTasks()).first;
+    }
+    // A gang may be larger than the limit, and then is the job's only open unit.
+    return open->second == 0 || open->second + tasksOf(candidate) <= JobLimits::OpenTasks;
+}
+
+void WaitingOrder::noteOpened(const Candidate &candidate)
+{
+    if (candidate.ref.job->isSparse() && candidate.ref.unit->isFresh()) {
+        m_openTasks[candidate.ref.job] += tasksOf(candidate);
+    }
+}
+
+void WaitingOrder::addNextUnits(Job &job)
+{
+    const std::uint32_t occurrences = std::max(job.spec.occurrences, 1U);
+    const auto steps = static_cast<std::uint32_t>(job.spec.steps.size());
+    const auto isOccurrenceDone = [&](std::uint32_t occurrence) {
+        for (std::uint32_t step = 0; step < steps; ++step) {
+            if (!job.isStepDone(occurrence, step)) {
+                return false;
+            }
+        }
+        return true;
+    };
+    while (job.firstOpenOccurrence < occurrences && isOccurrenceDone(job.firstOpenOccurrence)) {
+        ++job.firstOpenOccurrence;
+    }
+    std::size_t readySteps = 0;
+    for (std::uint32_t occurrence = job.firstOpenOccurrence; occurrence < occurrences && readySteps < JobLimits::ReadySteps; ++occurrence) {
+        if (job.spec.occurrences > 0 && m_wallNow < job.dueAt(occurrence)) {
+            break;
+        }
+        for (std::uint32_t step = 0; step < steps && readySteps < JobLimits::ReadySteps; ++step) {
+            const StepUnits &range = job.stepUnits[job.rangeIndex(occurrence, step)];
+            if (range.next == unitCount(job.spec.steps[step]) || !job.isStepReady(occurrence, step, m_wallNow)) {
+                continue;
+            }
+            ++readySteps;
+            const std::size_t offset = occurrence * job.unitsPerOccurrence + job.stepOffsets[step];
+            const Unit *last = range.next > 0 ? job.units.find(offset + range.next - 1) : nullptr;
+            const bool isNextWaiting = last != nullptr && last->isFresh();
+            if (!isNextWaiting) {
+                job.addNextUnit(occurrence, step);
+            }
+        }
+    }
+}
+
+std::optional<Candidate> WaitingOrder::nextOfStep(const Candidate &candidate)
+{
+    Job &job = *candidate.ref.job;
+    const Unit &unit = *candidate.ref.unit;
+    const bool isLast = unit.index + 1 == job.stepUnits[job.rangeIndex(unit.occurrence, unit.step)].next;
+    if (!job.isSparse() || !unit.isFresh() || !isLast) {
+        return std::nullopt;
+    }
+    Unit *next = job.addNextUnit(unit.occurrence, unit.step);
+    if (next == nullptr) {
+        return std::nullopt;
+    }
+    Candidate result = candidate;
+    result.ref.unit = next;
+    return result;
+}
+
+std::vector<Candidate> WaitingOrder::candidates()
 {
     std::vector<Candidate> all;
     for (Job *job : m_workload.activeJobs()) {
@@ -64,6 +143,9 @@
             continue;
         }
         const int shareLevel = m_workload.fairShare().level(job->spec.workspace);
+        if (job->isSparse()) {
+            addNextUnits(*job);
+        }
         for (auto &unit : job->units) {
             if (job->isReady(unit, m_wallNow)) {
                 Candidate &added = all.emplace_back(candidate(*job, unit));
--- a/src/batch/waiting_order.h
+++ b/src/batch/waiting_order.h
@@ -8,6 +8,7 @@
 #pragma once
 
 #include <map>
+#include <optional>
 #include <set>
 #include <tuple>
 #include <vector>
@@ -68,10 +69,19 @@
 
     [[nodiscard]] bool isGuaranteed(const Job &job) const;
     /** All units that may start now, in the order in which to place them. */
-    [[nodiscard]] std::vector<Candidate> candidates() const;
+    [[nodiscard]] std::vector<Candidate> candidates();
+    /** The next unit of the candidate's step that has never been started, which comes right after the candidate in the order, if there is one. */
+    [[nodiscard]] std::optional<Candidate> nextOfStep(const Candidate &candidate);
     [[nodiscard]] Candidate candidate(Job &job, Unit &unit) const;
+    [[nodiscard]] static std::size_t tasksOf(const Candidate &candidate);
+    /** Whether the unit may start under JobLimits::OpenTasks. */
+    [[nodiscard]] bool mayOpen(const Candidate &candidate);
+    /** Notes that the unit starts, or will start once others have been stopped for it. */
+    void noteOpened(const Candidate &candidate);
 
 private:
+    /** Adds the next unit of each step of a sparse job that is ready and has none that waits. */
+    void addNextUnits(Job &job);
     void collectGuaranteedJobs();
     /** Marks the workspace's urgent jobs as guaranteed, oldest first, as long as their combined needs fit its guarantee. */
     void applyGuarantee(const base::WorkspaceId &workspace, std::vector<Job *> &jobs);
@@ -80,6 +90,8 @@
     Instant m_now;
     WallTime m_wallNow;
     std::set<const Job *> m_guaranteedJobs;
+    /** Open tasks of sparse jobs, those of units that start in this round included. */
+    std::map<const Job *, std::size_t> m_openTasks;
 };
 
 } // namespace plantainfork::batch
--- a/src/batch/workload.cpp
+++ b/src/batch/workload.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 #include <utility>
 
 namespace plantainfork::batch
@@ -11,6 +12,8 @@
 {
 
 constexpr std::uint32_t WholePercent = 100;
+/** The records of jobs of up to this many units have no ranges, which an entry of an earlier version doesn't know: it would run their tasks again. */
+constexpr std::size_t MaxUnitsRecordedSingly = 1024;
 
 /** Core-equivalent seconds of a member's work that are not in its unit's checkpoint, by the caller's estimate. */
 double unsavedWork(const Job &job, const Unit &unit, const Member &member)
@@ -78,6 +81,7 @@
     Job &job = m_jobs[spec.id];
     m_areActiveJobsCurrent = false;
     job.spec = std::move(spec);
+    m_keptBytes[job.spec.workspace] += estimatedBytes(job.spec);
     job.shape = shapeOf(job.spec.steps);
     job.acceptedQueue.id = job.spec.queue;
     job.acceptedQueue.service = job.spec.service;
@@ -91,28 +95,35 @@
         job.stepOffsets.push_back(job.unitsPerOccurrence);
         job.unitsPerOccurrence += unitCount(step);
     }
-    job.doneUnits.assign(job.spec.steps.size() * std::max(job.spec.occurrences, 1U), 0);
-    for (std::uint32_t occurrence = 0; occurrence < std::max(job.spec.occurrences, 1U); ++occurrence) {
+    const std::uint32_t occurrences = std::max(job.spec.occurrences, 1U);
+    job.unitCount = job.unitsPerOccurrence * occurrences;
+    job.waitingUnits = job.unitCount;
+    job.stepUnits.resize(job.spec.steps.size() * occurrences);
+    job.firstDueAt = job.spec.occurrences > 0 ? now + (job.dueAt(0) - wallNow) : job.acceptedAt;
+    for (std::uint32_t occurrence = 0; occurrence < occurrences && !job.isSparse(); ++occurrence) {
         for (std::uint32_t step = 0; step < job.spec.steps.size(); ++step) {
-            for (std::uint32_t index = 0; index < unitCount(job.spec.steps[step]); ++index) {
-                Unit unit;
-                unit.occurrence = occurrence;
-                unit.step = step;
-                unit.index = index;
-                unit.waitingSince = job.spec.occurrences == 0 ? job.acceptedAt : std::max(job.acceptedAt, now + (job.dueAt(occurrence) - wallNow));
-                job.units.push_back(std::move(unit));
-            }
+            while (job.addNextUnit(occurrence, step) != nullptr) { }
         }
     }
-    job.waitingUnits = job.units.size();
     if (!state) {
         log("job known", {{"job", job.spec.id.value()}, {"queue", job.spec.queue.value()}, {"workspace", job.spec.workspace.value()}});
         return;
     }
     job.status = state->status;
     job.endedMs = state->endedMs;
-    for (const auto &record : state->units) {
-        Unit *unit = job.unit({job.spec.id, record.occurrence, record.step, record.index});
+    restoreUnits(job, *state, now);
+    log("job restored", {{"job", job.spec.id.value()}, {"status", std::string(statusText(job.status))}});
+}
+
+void Workload::restoreUnits(Job &job, const JobState &state, Instant now)
+{
+    for (const auto &range : state.doneRanges) {
+        if (range.occurrence < std::max(job.spec.occurrences, 1U) && range.step < job.spec.steps.size()) {
+            restoreDoneRange(job, range);
+        }
+    }
+    for (const auto &record : state.units) {
+        Unit *unit = restoredUnit(job, record);
         if (unit == nullptr) {
             log("record of an unknown unit", {{"job", job.spec.id.value()}, {"step", std::to_string(record.step)}});
             continue;
@@ -133,7 +144,53 @@
             unit->stopReason = job.status == JobStatus::Failed ? StopReason::JobFailed : StopReason::Cancelled;
         }
     }
-    log("job restored", {{"job", job.spec.id.value()}, {"status", std::string(statusText(job.status))}});
+    if (job.isSparse()) {
+        m_jobsWithDoneUnits.insert(job.spec.id);
+    }
+}
+
+void Workload::restoreDoneRange(Job &job, const DoneRange &range)
+{
+    StepUnits &units = job.stepUnits[job.rangeIndex(range.occurrence, range.step)];
+    const std::uint32_t count = unitCount(job.spec.steps[range.step]);
+    const std::uint32_t first = std::min(std::max(range.first, units.next), count);
+    const std::uint32_t end = first + std::min(range.count, count - first);
+    // Those that the record leaves out in between have never been started.
+    while (units.next < first) {
+        job.addNextUnit(range.occurrence, range.step);
+    }
+    units.done += end - first;
+    units.next = end;
+    job.allDoneUnits += end - first;
+    job.waitingUnits -= end - first;
+}
+
+Unit *Workload::restoredUnit(Job &job, const UnitRecord &record)
+{
+    const TaskId task{job.spec.id, record.occurrence, record.step, record.index};
+    if (record.occurrence >= std::max(job.spec.occurrences, 1U) || record.step >= job.spec.steps.size()
+        || record.index >= unitCount(job.spec.steps[record.step])) {
+        return nullptr;
+    }
+    while (job.stepUnits[job.rangeIndex(record.occurrence, record.step)].next <= record.index) {
+        job.addNextUnit(record.occurrence, record.step);
+    }
+    return job.unit(task);
+}
+
+void Workload::removeDoneUnits()
+{
+    for (const auto &id : std::exchange(m_jobsWithDoneUnits, {})) {
+        const auto found = m_jobs.find(id);
+        if (found == m_jobs.end()) {
+            continue;
+        }
+        Job &job = found->second;
+        for (auto unit = job.units.begin(); unit != job.units.end();) {
+            const bool isNeeded = unit->hasMembers() || (unit->phase != UnitPhase::Done && !isEnded(job.status));
+            unit = isNeeded ? std::next(unit) : job.units.erase(unit);
+        }
+    }
 }
 
 void Workload::cancelJob(const base::JobId &id, WallTime wallNow)
@@ -156,6 +213,11 @@
         markOrdersChanged(unit);
         clearMembers(found->second, unit);
     }
+    const auto kept = m_keptBytes.find(found->second.spec.workspace);
+    kept->second -= estimatedBytes(found->second.spec);
+    if (kept->second == 0) {
+        m_keptBytes.erase(kept);
+    }
     m_jobs.erase(found);
     m_areActiveJobsCurrent = false;
 }
@@ -208,6 +270,9 @@
     }
     unit.members.clear();
     --job.unitsWithMembers;
+    if (job.isSparse()) {
+        m_jobsWithDoneUnits.insert(job.spec.id);
+    }
     if (job.unitsWithMembers == 0 && isEnded(job.status)) {
         m_areActiveJobsCurrent = false;
     }
@@ -234,6 +299,9 @@
     log("job ended",
         {{"job", job.spec.id.value()}, {"status", std::string(statusText(status))}, {"age_ms", std::to_string(job.endedMs - job.spec.acceptedMs)}});
     m_timings.push_back({job.spec.workspace, priorityOf(job), status, std::chrono::milliseconds(job.endedMs - job.spec.acceptedMs)});
+    if (job.isSparse()) {
+        m_jobsWithDoneUnits.insert(job.spec.id);
+    }
     for (auto &unit : job.units) {
         if (unit.phase == UnitPhase::Placed) {
             stop({&job, &unit}, status == JobStatus::Failed ? StopReason::JobFailed : StopReason::Cancelled);
@@ -243,7 +311,7 @@
 
 void Workload::finishJobIfDone(Job &job, WallTime wallNow)
 {
-    if (job.allDoneUnits == job.units.size() && !isEnded(job.status)) {
+    if (job.allDoneUnits == job.unitCount && !isEnded(job.status)) {
         endJob(job, JobStatus::Complete, wallNow);
     }
 }
@@ -342,9 +410,19 @@
 void Workload::markDone(Job &job, Unit &unit, Instant now)
 {
     job.setPhase(unit, UnitPhase::Done);
+    if (job.isSparse()) {
+        m_jobsWithDoneUnits.insert(job.spec.id);
+    }
     if (!job.isStepDone(unit.occurrence, unit.step)) {
         return;
     }
+    for (std::uint32_t step = unit.step + 1; step < job.spec.steps.size() && job.isSparse(); ++step) {
+        const auto &dependencies = job.spec.steps[step].dependsOn;
+        if (std::find(dependencies.begin(), dependencies.end(), unit.step) != dependencies.end()) {
+            job.releasedAt[job.rangeIndex(unit.occurrence, step)] = now;
+        }
+    }
+    job.releasedAt.erase(job.rangeIndex(unit.occurrence, unit.step));
     for (auto &other : job.units) {
         const auto &dependencies = job.stepOf(other).dependsOn;
         const bool isReleased = other.occurrence == unit.occurrence && std::find(dependencies.begin(), dependencies.end(), unit.step) != dependencies.end();
@@ -504,8 +582,16 @@
     JobState state;
     state.status = job.status;
     state.endedMs = job.endedMs;
+    if (job.isSparse() && !isEnded(job.status)) {
+        state.doneRanges = doneRangesOf(job);
+        if (job.unitCount <= MaxUnitsRecordedSingly) {
+            recordSingly(state);
+        }
+    }
     for (const auto &unit : job.units) {
-        if (unit.attempt == Attempt() && unit.phase == UnitPhase::Waiting) {
+        // What is left of an ended job is the runs that may still be active.
+        const bool isDispensable = job.isSparse() && !unit.hasMembers() && (unit.phase == UnitPhase::Done || isEnded(job.status));
+        if (unit.isFresh() || isDispensable) {
             continue;
         }
         UnitRecord record;
@@ -527,6 +613,46 @@
     return state;
 }
 
+void Workload::recordSingly(JobState &state)
+{
+    for (const auto &range : std::exchange(state.doneRanges, {})) {
+        for (std::uint32_t i = 0; i < range.count; ++i) {
+            UnitRecord record;
+            record.occurrence = range.occurrence;
+            record.step = range.step;
+            record.index = range.first + i;
+            record.isDone = true;
+            record.attempt = Attempt().next();
+            state.units.push_back(std::move(record));
+        }
+    }
+}
+
+std::vector<DoneRange> Workload::doneRangesOf(const Job &job)
+{
+    std::vector<DoneRange> ranges;
+    auto unit = job.units.begin();
+    for (std::uint32_t occurrence = 0; occurrence * job.spec.steps.size() < job.stepUnits.size(); ++occurrence) {
+        for (std::uint32_t step = 0; step < job.spec.steps.size(); ++step) {
+            std::uint32_t first = 0;
+            const auto addUpTo = [&](std::uint32_t end) {
+                if (first < end) {
+                    ranges.push_back({occurrence, step, first, end - first});
+                }
+            };
+            for (; unit != job.units.end() && unit->occurrence == occurrence && unit->step == step; ++unit) {
+                // A gang that is done while the ends of some members are yet to come has a record of its own.
+                if (unit->phase != UnitPhase::Done || unit->hasMembers()) {
+                    addUpTo(unit->index);
+                    first = unit->index + 1;
+                }
+            }
+            addUpTo(job.stepUnits[job.rangeIndex(occurrence, step)].next);
+        }
+    }
+    return ranges;
+}
+
 Duration Workload::oldestReportAge(Instant now) const
 {
     Duration oldest{};
--- a/src/batch/workload.h
+++ b/src/batch/workload.h
@@ -11,6 +11,7 @@
 #include <string>
 #include <vector>
 
+#include "batch/admission.h"
 #include "batch/fair_share.h"
 #include "batch/host_losses.h"
 #include "batch/host_speeds.h"
@@ -18,6 +19,7 @@
 #include "batch/messages.h"
 #include "batch/model.h"
 #include "batch/records.h"
+#include "batch/unit_table.h"
 #include "runtime/clock.h"
 
 namespace plantainfork::batch
@@ -119,6 +121,11 @@
     {
         return !members.empty();
     }
+    /** It has never been placed. */
+    [[nodiscard]] bool isFresh() const
+    {
+        return attempt == Attempt() && phase == UnitPhase::Waiting;
+    }
     /** Whether it may be what makes executors crash. */
     [[nodiscard]] bool isCrashSuspect() const
     {
@@ -126,11 +133,21 @@
     }
 };
 
+/** The units of one step in one occurrence of a job. */
+struct StepUnits {
+    /** Units with lower indices are in Job::units or done; the others have never been started. */
+    std::uint32_t next = 0;
+    std::uint32_t done = 0;
+};
+
 struct Job {
     JobSpec spec;
     JobStatus status = JobStatus::Queued;
-    /** Sorted by occurrence, step and task. */
-    std::vector<Unit> units;
+    /**
+     * Units by number: sorted by occurrence, step and task. A sparse job has only those that are open, or next to be started; those that are
+     * done are removed by Workload::removeDoneUnits().
+     */
+    UnitTable<Unit> units;
     bool isCancelled = false;
     /** The job's state record in the store is out of date. */
     bool isDirty = false;
@@ -138,13 +155,21 @@
     bool hasNewCheckpoint = false;
     Instant recordedAt;
     Instant acceptedAt;
+    /** When the first occurrence is due; the time of acceptance if the job runs once. */
+    Instant firstDueAt;
     std::int64_t endedMs = 0;
     JobShape shape;
     /** Offset of a step's first unit within one occurrence. */
     std::vector<std::size_t> stepOffsets;
     std::size_t unitsPerOccurrence = 0;
-    /** Number of units that are done, by occurrence and step. */
-    std::vector<std::uint32_t> doneUnits;
+    /** Number of units of all occurrences. */
+    std::size_t unitCount = 0;
+    /** By occurrence and step. */
+    std::vector<StepUnits> stepUnits;
+    /** All units of earlier occurrences are done. */
+    std::uint32_t firstOpenOccurrence = 0;
+    /** When the steps that each step of each occurrence depends on became done; only of sparse jobs, and only of those that wait since then. */
+    std::map<std::size_t, Instant> releasedAt;
     /** Numbers of units in the phases Waiting and Done, and of units that have members; kept by setPhase() and the workload. */
     std::size_t waitingUnits = 0;
     std::size_t allDoneUnits = 0;
@@ -152,12 +177,23 @@
     /** The queue's settings when the job was accepted; used once the queue is removed. */
     Queue acceptedQueue;
 
+    /** Whether the job has more units than get a state of their own at once. */
+    [[nodiscard]] bool isSparse() const
+    {
+        return unitCount > JobLimits::DenseUnits;
+    }
     [[nodiscard]] const Step &stepOf(const Unit &unit) const
     {
         return spec.steps[unit.step];
     }
-    /** The unit that the task belongs to; null if the job has no such task. */
+    [[nodiscard]] std::size_t rangeIndex(std::uint32_t occurrence, std::uint32_t step) const
+    {
+        return occurrence * spec.steps.size() + step;
+    }
+    /** The unit that the task belongs to; null if the job has no such task, or the unit has no state: it was never started, or is done. */
     [[nodiscard]] Unit *unit(const TaskId &task);
+    /** Adds the next unit of the step that has never been started; null if there is none. */
+    Unit *addNextUnit(std::uint32_t occurrence, std::uint32_t step);
     [[nodiscard]] std::size_t memberIndex(const TaskId &task) const
     {
         return spec.steps[task.step].isGang ? task.index : 0;
@@ -166,10 +202,16 @@
     void setPhase(Unit &unit, UnitPhase phase);
     /** Whether all units of the step are done in this occurrence. */
     [[nodiscard]] bool isStepDone(std::uint32_t occurrence, std::uint32_t step) const;
-    /** Whether the unit may be placed: it waits, its job has not ended, its occurrence is due and the steps it depends on are done. */
+    /** Whether the job has not ended, the occurrence is due and the steps that the step depends on are done. */
+    [[nodiscard]] bool isStepReady(std::uint32_t occurrence, std::uint32_t step, WallTime wallNow) const;
+    /** Whether the unit may be placed: it waits, and its step is ready. */
     [[nodiscard]] bool isReady(const Unit &unit, WallTime wallNow) const;
     [[nodiscard]] TaskId taskOf(const Unit &unit, std::size_t member) const;
     [[nodiscard]] WallTime dueAt(std::uint32_t occurrence) const;
+    /** When a unit of the step that has never been started began to wait. */
+    [[nodiscard]] Instant waitingSince(std::uint32_t occurrence, std::uint32_t step) const;
+    /** Number of tasks of units that have been started and are not done: those whose state is recorded one by one. */
+    [[nodiscard]] std::size_t openTasks() const;
 };
 
 /** Pointers to a unit and its job. They stay valid until the job is forgotten, because map nodes don't move. */
@@ -302,6 +344,9 @@
     /** Marks jobs with new checkpoints as dirty once the checkpoint interval has passed. */
     void markCheckpoints(Instant now);
 
+    /** Removes the states of units of sparse jobs that are done, and of all that have no runs once their job has ended. To be called between rounds. */
+    void removeDoneUnits();
+
     /** Estimates anew how fast the hosts are, and logs which of them have become slow. To be called before each planning round. */
     void updateSpeeds(Instant now);
     [[nodiscard]] const HostSpeeds &speeds() const
@@ -342,6 +387,11 @@
     }
     /** Jobs that have not ended or still have runs on hosts, by their ids. */
     [[nodiscard]] const std::vector<Job *> &activeJobs();
+    /** Estimated memory of the jobs by workspace; see estimatedBytes(). */
+    [[nodiscard]] const KeptBytes &keptBytes() const
+    {
+        return m_keptBytes;
+    }
     [[nodiscard]] std::map<HostId, Host> &hosts()
     {
         return m_hosts;
@@ -416,6 +466,14 @@
     void countFailure(Job &job, Unit &unit, const Member &member, Instant now);
     /** Marks the unit as done; steps that depend on its step alone begin to wait for a place. */
     void markDone(Job &job, Unit &unit, Instant now);
+    /** Takes the states of the job's units from an earlier leader's record. */
+    void restoreUnits(Job &job, const JobState &state, Instant now);
+    static void restoreDoneRange(Job &job, const DoneRange &range);
+    /** The unit of the record, added if it has no state yet; null if the job has no such unit. */
+    static Unit *restoredUnit(Job &job, const UnitRecord &record);
+    [[nodiscard]] static std::vector<DoneRange> doneRangesOf(const Job &job);
+    /** Replaces the ranges by a record for each unit. */
+    static void recordSingly(JobState &state);
     void endJob(Job &job, JobStatus status, WallTime wallNow);
     void finishJobIfDone(Job &job, WallTime wallNow);
     /** The unit and member index of a run on a host, if its attempt is the current one. */
@@ -430,10 +488,13 @@
     std::size_t m_reportedHosts = 0;
     std::shared_ptr<const Policy> m_policy = std::make_shared<Policy>();
     std::map<base::JobId, Job> m_jobs;
+    KeptBytes m_keptBytes;
     std::map<HostId, Host> m_hosts;
     /** Sorted by id, without jobs that ended and have no members; rebuilt when `m_areActiveJobsCurrent` is false. */
     std::vector<Job *> m_activeJobs;
     bool m_areActiveJobsCurrent = true;
+    /** Sparse jobs with units whose states are no longer needed. */
+    std::set<base::JobId> m_jobsWithDoneUnits;
     std::set<HostId> m_changedHosts;
     HostSpeeds m_speeds;
     std::uint64_t m_takenSpeedSamples = 0;
--- a/tests/batch/fair_share_test.cpp
+++ b/tests/batch/fair_share_test.cpp
@@ -92,7 +92,7 @@
     void endRuns()
     {
         for (auto &[id, job] : fixture.workload.jobs()) {
-            const auto &unit = job.units.front();
+            const auto &unit = job.units.at(0);
             if (unit.phase == batch::UnitPhase::Placed) {
                 const auto start = m_starts.try_emplace(id, unit.members.front().orderedAt).first->second;
                 if (fixture.now - start >= job.spec.steps.front().estimate) {
--- a/tests/batch/host_losses_test.cpp
+++ b/tests/batch/host_losses_test.cpp
@@ -98,7 +98,7 @@
     void endRuns()
     {
         for (auto &[id, job] : fixture.workload.jobs()) {
-            const auto &gang = job.units.front();
+            const auto &gang = job.units.at(0);
             const bool isStopped = gang.stopReason != batch::StopReason::None;
             if (gang.phase != batch::UnitPhase::Placed || (!isStopped && fixture.now - gang.members.front().orderedAt < 1500ms)) {
                 continue;
@@ -403,7 +403,7 @@
         fixture.workload.cancelJob(base::JobId("one"), fixture.wallNow());
         fixture.addJob("five", "long", "rif", {WorkloadFixture::step(1, 8, 2s)});
         auto &job = fixture.workload.jobs().at(base::JobId("five"));
-        fixture.workload.place({&job, &job.units[0]}, {HostId("a")}, fixture.now);
+        fixture.workload.place({&job, &job.units.at(0)}, {HostId("a")}, fixture.now);
         fixture.reportEnd("a", WorkloadFixture::run("five", 0, 0, 1), batch::EndKind::Failed);
         fixture.workload.cancelJob(base::JobId("five"), fixture.wallNow());
         // Longer than a suspension of the host.
--- a/tests/batch/planner_test.cpp
+++ b/tests/batch/planner_test.cpp
@@ -225,7 +225,7 @@
     fixture.addHost("far", "r1-2");
     fixture.addJob("base", "long", "rif", {WorkloadFixture::step(1, 8, 3s)});
     auto &base = fixture.workload.jobs().at(base::JobId("base"));
-    fixture.workload.place({&base, &base.units[0]}, {batch::HostId("near")}, fixture.now);
+    fixture.workload.place({&base, &base.units.at(0)}, {batch::HostId("near")}, fixture.now);
     fixture.reportOrdersRunning("near", 0);
     auto near = WorkloadFixture::step(1, 1, 4s);
     near.dataRack = "r1-1";
--- a/tests/batch/workload_fixture.h
+++ b/tests/batch/workload_fixture.h
@@ -130,6 +130,7 @@
     /** Plans one round and applies the plan to the workload. */
     batch::Plan runRound()
     {
+        workload.removeDoneUnits();
         workload.updateSpeeds(now);
         batch::Plan plan = planner.plan(workload, evacuated, now, wallNow());
         for (const auto &stop : plan.stops) {
