batch: Conclude from a run's absence only by a whole list

What callers saw: while the store was away for 4.2 s, 600 tasks of a job ended on one executor.

Cause: an executor returns its ends 500 at a time, and the agent took each list for whole. It ordered runs whose end came later to start again, was refused (409 old), and after a further list without them reported them as barred, that is, never started. The leader then placed their next attempt. No outage is needed, only more than 500 ends that aren't acknowledged.

Change: a listing says whether it is whole. A run is barred only by a whole listing that was asked for after the run was stopped; until then it waits for the ends to be acknowledged, and one call for a listing serves all runs that wait. A run that has certainly started isn't started again while the list may leave out its end.

--- a/src/batch/agent.h
+++ b/src/batch/agent.h
@@ -15,6 +15,7 @@
 #include <utility>
 #include <vector>
 
+#include <absl/cleanup/cleanup.h>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
@@ -57,6 +58,7 @@
         , m_entries(settings.entries)
         , m_stateChanged(executor)
         , m_ordersChanged(executor)
+        , m_listingChanged(executor)
         , m_leaderDoubted(executor)
         , m_starts(metrics.counter("plantainfork_batch_starts_total"))
         , m_holdFailures(metrics.counter("plantainfork_batch_hold_failures_total"))
@@ -113,6 +115,7 @@
             m_isIncarnationGone = false;
             m_isGoodbyeRejected = false;
             m_listing.reset();
+            m_listingChanged.notify();
             m_listToken = {};
             m_clock.forget();
             m_starting.clear();
@@ -398,8 +401,8 @@
         std::map<RunId, RunOrder> kept;
         for (const auto &order : next.runs) {
             const auto known = m_payloads.find(order.run);
-            const bool hasPayload = !order.payload.empty() || known == m_payloads.end();
-            kept[order.run] = hasPayload ? order : known->second;
+            const bool isKnownBetter = known != m_payloads.end() && known->second.isComplete && (!order.isComplete || order.payload.empty());
+            kept[order.run] = isKnownBetter ? known->second : order;
         }
         m_payloads = std::move(kept);
     }
@@ -431,9 +434,16 @@
                });
     }
 
+    /** Whether the run may have ended beyond the ends that the executor returns at a time. */
+    [[nodiscard]] bool mayHaveEndedUnlisted(const RunId &run) const
+    {
+        return m_listing && !m_listing->isWhole && m_possibleRuns.hasBegun(run);
+    }
+
     void startIfNeeded(const RunId &run)
     {
-        if (!isListed(run) && !m_unlisted.contains(run) && !m_barred.contains(run) && m_starting.insert(run).second) {
+        const bool isUnderWay = m_unlisted.contains(run) || m_barred.contains(run) || mayHaveEndedUnlisted(run);
+        if (!isListed(run) && !isUnderWay && m_starting.insert(run).second) {
             const auto self = this->shared_from_this();
             asio::co_spawn(m_executor, startRun(self, run, m_report->incarnation), [self, run](const std::exception_ptr &failure) {
                 self->handleOrderFailure(failure, self->m_starting, run);
@@ -496,6 +506,12 @@
                 break;
             }
             const RunOrder order = found->second;
+            if (!order.isComplete) {
+                // The leader knows the run from an earlier process of this agent; it has ended, or it is barred and starts anew elsewhere.
+                logRun("start without a payload", run, "");
+                co_await stopOrBar(run, incarnation);
+                break;
+            }
             const bool isFirstStart = m_possibleRuns.addStart(run, runtime::Clock::now());
             const auto answerDeadline = runtime::Clock::now() + OrderTimeout;
             const auto result = co_await m_port.start(order, incarnation, m_token, startDeadline(*executorNow), answerDeadline);
@@ -550,21 +566,37 @@
         }
     }
 
-    /** After a stop, a run that is missing from a fresh listing has never started and is barred. */
+    /** After a stop, a run that is missing from a fresh and whole listing has never started and is barred. */
     asio::awaitable<void> confirmBar(const RunId &run, const HostIncarnation &incarnation)
     {
+        const std::uint64_t sentBefore = m_holdsSent;
         while (isCurrentIncarnation(incarnation)) {
-            const std::chrono::milliseconds noWait(0);
-            const bool hasFreshListing = co_await callHold(noWait);
-            if (hasFreshListing) {
-                if (!isListed(run)) {
+            if (m_listing && m_listingSequence > sentBefore) {
+                if (isListed(run)) {
+                    co_return;
+                }
+                if (m_listing->isWhole) {
                     m_barred.insert(run);
                     m_possibleRuns.bar(run);
                     logRun("run barred", run, "");
+                    co_return;
                 }
-                co_return;
             }
-            co_await runtime::sleepFor(HoldRetryDelay);
+            // One call serves all runs that wait for a listing. The ends that this one lists have to be acknowledged before the next ones come.
+            const bool isAsking = !m_isConfirming && (!m_listing || m_listingSequence <= sentBefore);
+            bool hasListing = false;
+            if (isAsking) {
+                m_isConfirming = true;
+                const absl::Cleanup asked = [this] {
+                    m_isConfirming = false;
+                    m_listingChanged.notify();
+                };
+                const std::chrono::milliseconds noWait(0);
+                hasListing = co_await callHold(noWait);
+            }
+            if (!hasListing) {
+                co_await m_listingChanged.waitUntil(runtime::Clock::now() + HoldRetryDelay);
+            }
         }
     }
 
@@ -703,6 +735,7 @@
             return;
         }
         m_listingSequence = sequence;
+        m_listingChanged.notify();
         const bool isChanged = !m_listing || m_listToken != token || haveRunsChanged(*m_listing, listing);
         m_listing = listing;
         m_unlisted.clear();
@@ -810,6 +843,8 @@
     base::FencingToken m_listToken;
     std::uint64_t m_holdsSent = 0;
     std::uint64_t m_listingSequence = 0;
+    /** A call for a listing is under way that shows whether stopped runs have never started. */
+    bool m_isConfirming = false;
     ExecutorClock m_clock;
 
     std::set<RunId> m_starting;
@@ -827,6 +862,7 @@
     std::uint64_t m_reportedVersion = 0;
     runtime::Signal m_stateChanged;
     runtime::Signal m_ordersChanged;
+    runtime::Signal m_listingChanged;
     /** The leader's lease may have lapsed. */
     bool m_isLeaderDoubtful = false;
     runtime::Signal m_leaderDoubted;
--- a/src/batch/executor_port.h
+++ b/src/batch/executor_port.h
@@ -54,6 +54,8 @@
     ExecutorTime clock{0};
     std::vector<Running> running;
     std::vector<Ended> ended;
+    /** Nothing is left out: a run in neither list isn't running, and has no end that is yet to be acknowledged. */
+    bool isWhole = true;
     /** Start time of the executor in Unix milliseconds; 0: not given. */
     std::uint64_t born = 0;
 };
--- a/src/batch/messages.h
+++ b/src/batch/messages.h
@@ -21,11 +21,12 @@
 /** A run that the host should execute. */
 struct RunOrder {
     RunId run;
-    /** Empty if the agent has listed the run already. */
     std::string payload;
     std::string checkpoint;
+    /** Payload and checkpoint are given. They are left out for a run that the host has listed; a leader of an earlier version doesn't tell. */
+    bool isComplete = true;
 
-    MSGPACK_DEFINE(run, payload, checkpoint);
+    MSGPACK_DEFINE(run, payload, checkpoint, isComplete);
 };
 
 /**
--- a/src/batch/possible_runs.h
+++ b/src/batch/possible_runs.h
@@ -61,6 +61,13 @@
         }
     }
 
+    /** Whether the run has certainly started on the present incarnation, and no listing has shown its end. */
+    [[nodiscard]] bool hasBegun(const RunId &run) const
+    {
+        const auto found = m_runs.find(run);
+        return found != m_runs.end() && found->second.begin == RunBegin::Certain;
+    }
+
     /** Notes that the incarnation is gone without notice. Returns false if that is known already. */
     bool recordCrash(const HostIncarnation &incarnation)
     {
--- a/src/batch/scheduler.h
+++ b/src/batch/scheduler.h
@@ -282,8 +282,7 @@
                                              })
                 || std::find(call.starting.begin(), call.starting.end(), order.run) != call.starting.end();
             if (isKnown) {
-                order.payload.clear();
-                order.checkpoint.clear();
+                order = {order.run, "", "", false};
             }
         }
     }
--- a/src/batch/workload.cpp
+++ b/src/batch/workload.cpp
@@ -558,10 +558,10 @@
             if (shouldStop) {
                 orders.stops.push_back(run);
             } else if (member.phase == MemberPhase::Ordered) {
-                orders.runs.push_back({run, job->spec.payload, unit->checkpoint});
+                orders.runs.push_back({run, job->spec.payload, unit->checkpoint, true});
             } else {
                 // The host has listed the run, so it needs neither payload nor checkpoint any more.
-                orders.runs.push_back({run, "", ""});
+                orders.runs.push_back({run, "", "", false});
             }
         }
     }
--- a/tests/batch/agent_fixture.h
+++ b/tests/batch/agent_fixture.h
@@ -77,7 +77,14 @@
             co_return absl::UnavailableError("end of stream");
         }
         listing.clock = clock();
+        std::erase_if(listing.ended, [&](const batch::Ended &ended) {
+            return ended.number <= request.acknowledged;
+        });
         batch::Listing answer = listing;
+        if (answer.ended.size() >= mostEnds) {
+            answer.ended.resize(mostEnds);
+            answer.isWhole = false;
+        }
         if (isListingOld) {
             answer.running.clear();
         }
@@ -105,6 +112,8 @@
     std::vector<batch::ExecutorTime> holdClocks;
     batch::Listing listing;
     bool isNextAnswerLost = false;
+    /** Ends that are returned at a time. */
+    std::size_t mostEnds = 500;
     /** Runs aren't listed, as by answers that were under way when they started. */
     bool isListingOld = false;
     /** The next call throws what nobody expects of it. */
--- a/tests/batch/agent_test.cpp
+++ b/tests/batch/agent_test.cpp
@@ -1,6 +1,8 @@
 /** What the agent lets its executor do, and when: grants, fencing, lost answers and the acknowledgement of ended runs. */
 #include <catch2/catch.hpp>
 
+#include <set>
+
 #include "batch/agent_fixture.h"
 
 using namespace plantainfork;
@@ -626,3 +628,116 @@
         REQUIRE_FALSE(fixture.calls[i].isExecutorReached);
     }
 }
+
+namespace
+{
+
+/** A host with five runs, all of which have ended; the executor returns two ends at a time. */
+struct ManyEnds {
+    static constexpr std::uint64_t Runs = 5;
+
+    ManyEnds()
+        : fixture([this](const batch::SyncCall &call) {
+            return reply(call);
+        })
+    {
+        fixture.executor.mostEnds = 2;
+        fixture.executor.isStartIgnored = true;
+        fixture.executor.startResult = {batch::StartOutcome::Refused, "409 old"};
+        for (std::uint64_t number = 1; number <= Runs; ++number) {
+            fixture.executor.listing.ended.push_back({number, run(number), batch::EndKind::Done, ""});
+        }
+    }
+
+    static batch::RunId run(std::uint64_t number)
+    {
+        return AgentFixture::run("job" + std::to_string(number), 1);
+    }
+
+    batch::SyncReply reply(const batch::SyncCall &call)
+    {
+        for (const auto &ended : call.ended) {
+            reported.insert(ended.run);
+        }
+        barred.insert(call.barred.begin(), call.barred.end());
+        auto result = AgentFixture::order(run(1), 3, version, 5s);
+        result.orders.runs.clear();
+        for (std::uint64_t number = 1; number <= Runs + 1; ++number) {
+            const bool isSettled = isAcknowledging && reported.contains(run(number));
+            if (isSettled) {
+                continue;
+            }
+            if (isStopping) {
+                result.orders.stops.push_back(run(number));
+            } else {
+                result.orders.runs.push_back({run(number), "payload", "", true});
+            }
+        }
+        if (isAcknowledging && !call.ended.empty()) {
+            result.orders.acknowledged = call.ended.back().number;
+            result.orders.version = version = version + 1;
+        }
+        return result;
+    }
+
+    std::set<batch::RunId> reported;
+    std::set<batch::RunId> barred;
+    std::uint64_t version = 1;
+    bool isAcknowledging = false;
+    bool isStopping = false;
+    AgentFixture fixture;
+};
+
+} // namespace
+
+TEST_CASE("A run whose end is beyond those that the executor returns at a time isn't reported as never started")
+{
+    // With more than 500 ends that weren't acknowledged, tasks were started again after they had ended as done (review/7).
+    const bool isStopping = GENERATE(false, true);
+    CAPTURE(isStopping);
+    ManyEnds ends;
+    ends.isStopping = isStopping;
+    ends.fixture.runFor(700ms);
+    REQUIRE(ends.reported.size() == 2);
+    REQUIRE(ends.barred.empty());
+    ends.isAcknowledging = true;
+    ends.fixture.runUntil([&] {
+        return ends.reported.size() == ManyEnds::Runs && !ends.barred.empty();
+    });
+    // The sixth run has never started, which the whole list shows.
+    REQUIRE(ends.barred == std::set<batch::RunId>{ManyEnds::run(6)});
+}
+
+TEST_CASE("Runs that were started aren't started again while the executor's list may leave their ends out")
+{
+    ManyEnds ends;
+    ends.fixture.executor.listing.ended.clear();
+    ends.fixture.executor.isStartIgnored = false;
+    ends.fixture.executor.startResult = {batch::StartOutcome::Started, ""};
+    ends.fixture.runUntil([&] {
+        return ends.fixture.executor.starts.size() == ManyEnds::Runs + 1 && ends.fixture.calls.back().running.size() == ManyEnds::Runs + 1;
+    });
+    ends.fixture.executor.listing.running.clear();
+    for (std::uint64_t number = 1; number <= ManyEnds::Runs + 1; ++number) {
+        ends.fixture.executor.listing.ended.push_back({number, ManyEnds::run(number), batch::EndKind::Done, ""});
+    }
+    ends.fixture.runFor(500ms);
+    REQUIRE(ends.fixture.executor.starts.size() == ManyEnds::Runs + 1);
+    REQUIRE(ends.barred.empty());
+}
+
+TEST_CASE("A run whose payload the leader has left out is never started")
+{
+    // The leader knows the run from an earlier process of the agent; this one has no payload of it.
+    std::uint64_t barredCalls = 0;
+    AgentFixture fixture([&](const batch::SyncCall &call) {
+        barredCalls += call.barred.empty() ? 0 : 1;
+        auto reply = AgentFixture::order(AgentFixture::run("job", 1), 3, 1, 5s);
+        reply.orders.runs.front() = {AgentFixture::run("job", 1), "", "", false};
+        return reply;
+    });
+    fixture.runUntil([&] {
+        return barredCalls > 0;
+    });
+    REQUIRE(fixture.executor.starts.empty());
+}
--- a/tests/platform/json_test.cpp
+++ b/tests/platform/json_test.cpp
@@ -50,6 +50,23 @@
     REQUIRE(decoded->listing.born == 9);
 }
 
+TEST_CASE("A list of runs is whole only if it can't leave anything out")
+{
+    const auto isWhole = [](std::size_t ends, const std::string &running) {
+        std::string rows;
+        for (std::size_t number = 1; number <= ends; ++number) {
+            rows += (rows.empty() ? "" : ",") + ("[" + std::to_string(number) + R"(,"5c0e7a21d94b36f8.0.1.9",1,"done",""])");
+        }
+        const auto decoded = platform::decodeListing(R"({"ClockMs":1,"Running":[)" + running + R"(],"Finished":[)" + rows + "]}");
+        REQUIRE(decoded.ok());
+        return decoded->listing.isWhole;
+    };
+    REQUIRE(isWhole(0, ""));
+    REQUIRE(isWhole(499, ""));
+    REQUIRE_FALSE(isWhole(500, ""));
+    REQUIRE_FALSE(isWhole(1, R"(["broken",1,"",1])"));
+}
+
 TEST_CASE("An announcement of another writer names no executor to use")
 {
     const std::string valid =
--- a/tests/platform/store_client_test.cpp
+++ b/tests/platform/store_client_test.cpp
@@ -61,3 +61,18 @@
     REQUIRE(changes.written[0].value == "2");
     REQUIRE(changes.written[1].key == "op/another");
 }
+
+TEST_CASE("A page without items that says there are more isn't taken for the end of the list")
+{
+    boost::asio::io_context context{1};
+    metrics::Registry metrics;
+    const auto server = standins::listen(context, {"127.0.0.1", 0}, [](http::Request) -> boost::asio::awaitable<http::Response> {
+        co_return http::Response::json(200, R"({"AtRev":5,"items":[],"HasMore":true})");
+    });
+    platform::StoreClient client(context.get_executor(), {"127.0.0.1", server->port()}, metrics);
+    const auto read = [&]() -> boost::asio::awaitable<void> {
+        const auto all = co_await client.readPrefix("states/", runtime::Clock::now() + 5s);
+        REQUIRE_FALSE(all.ok());
+    };
+    tests::runOn(context, read());
+}
