batch: Bound records and messages, and let no large one hold up other jobs

Cause: the job's state was one record of 1.5 MB, the store takes values of 1 MiB, and the write was repeated for good, whatever the store answered. Each round awaits it, so no later round decided anything for anybody.

Change: - The sender knows the bound: a job opens no further task while 4,096 are open or its record has 256 KiB; records above 768 KiB leave out their checkpoints. Failures of tasks that last aren't kept, and crashes of a unit are at most 1,024. - A refusal that can't change isn't repeated: the store's client tells 400, 403 and 413 from other answers. The one record that is refused is given up; its job takes back what no host knows of, and is suspended for 5 s. - Records of more than 64 KiB are written beside the rounds. Starts and ends that such a record is yet to have are neither ordered nor acknowledged. - Of the same class: a host is sent 512 KiB of payloads at a time (a reply with 1,200 long ones was 4.8 MB, above what a call takes), and a watch of the jobs whose answer is too large gives way to a read in pages.

--- a/src/batch/crash_blame.cpp
+++ b/src/batch/crash_blame.cpp
@@ -59,10 +59,21 @@
     const bool isKnown = std::any_of(crashes.begin(), crashes.end(), [&](const Crash &known) {
         return known.attempt == crash.attempt && known.task == crash.task;
     });
-    if (!isKnown) {
-        crashes.push_back(crash);
+    if (isKnown) {
+        return false;
+    }
+    // A large gang may lose most of its tasks at once, time and again. What says least about its tasks goes first.
+    if (crashes.size() >= CrashLimits::Kept) {
+        const auto bystander = std::find_if(crashes.begin(), crashes.end(), [](const Crash &known) {
+            return known.blame == CrashBlame::Bystander;
+        });
+        if (bystander == crashes.end() && crash.blame == CrashBlame::Bystander) {
+            return false;
+        }
+        crashes.erase(bystander != crashes.end() ? bystander : crashes.begin());
     }
-    return !isKnown;
+    crashes.push_back(crash);
+    return true;
 }
 
 std::size_t countCrashes(const Crashes &crashes, std::uint32_t task)
--- a/src/batch/crash_blame.h
+++ b/src/batch/crash_blame.h
@@ -85,6 +85,8 @@
     static constexpr std::size_t Certain = 2;
     /** Crashes of any kind, also under runs that may not have begun: a task may crash each executor before that answers its start. */
     static constexpr std::size_t All = 4;
+    /** Crashes of a unit that are kept in its job's record. */
+    static constexpr std::size_t Kept = 1024;
 };
 
 /** A run on a crashed executor. */
--- a/src/batch/job_feed.h
+++ b/src/batch/job_feed.h
@@ -75,8 +75,9 @@
                 if (!changes->written.empty()) {
                     term.wake.notify();
                 }
-            } else if (absl::IsOutOfRange(changes.status())) {
-                log::write(log::Severity::Info, "change history not available, reading all jobs");
+            } else if (absl::IsOutOfRange(changes.status()) || absl::IsResourceExhausted(changes.status())) {
+                // An answer that is too large would be so each time, whereas the pages of a read are bounded.
+                log::write(log::Severity::Info, "changes not available, reading all jobs", {{"reason", std::string(changes.status().message())}});
                 co_return;
             } else {
                 log::write(log::Severity::Warning, "job watch failed", {{"reason", std::string(changes.status().message())}});
--- a/src/batch/job_request_handler.h
+++ b/src/batch/job_request_handler.h
@@ -170,7 +170,8 @@
             conditions.push_back(admissionCheck(workspace));
             const auto result = co_await writeIf(std::move(conditions), keys::job(id, keys::JobPart::Spec), std::move(spec), caller);
             reason = result.reason;
-            if (result.outcome == store::WriteOutcome::NotSent) {
+            const bool hasNoEffect = result.outcome == store::WriteOutcome::NotSent || result.outcome == store::WriteOutcome::Rejected;
+            if (hasNoEffect) {
                 m_recent.endUnsent(id);
             } else {
                 hasWritten = true;
@@ -182,7 +183,8 @@
                 logRequest("job accepted", id, caller, policy->version, "written");
                 co_return Answer{AnswerKind::Accepted, {}, 0, {}, ""};
             }
-            if (result.outcome == store::WriteOutcome::NotSent && !m_recent.mayBeRecorded(id, runtime::Clock::now())) {
+            const bool isPointless = result.outcome == store::WriteOutcome::Rejected;
+            if (isPointless || (hasNoEffect && !m_recent.mayBeRecorded(id, runtime::Clock::now()))) {
                 break;
             }
             if (result.outcome == store::WriteOutcome::Unknown || result.outcome == store::WriteOutcome::NotSent) {
--- a/src/batch/job_shape.h
+++ b/src/batch/job_shape.h
@@ -27,6 +27,10 @@
     static constexpr std::size_t OpenTasks = 4096;
     /** Steps of all occurrences of a sparse job of which a unit is considered in one round. */
     static constexpr std::size_t ReadySteps = 256;
+    /** A job whose record is larger starts no further unit until it has shrunk. */
+    static constexpr std::size_t RecordBytes = 256 * 1024;
+    /** Larger records are written apart from the rounds, so that other jobs don't wait for them. */
+    static constexpr std::size_t ApartRecordBytes = 64 * 1024;
     /** Bytes of the record of an accepted job: what a slow line takes within the timeout of a store call. */
     static constexpr std::size_t SpecBytes = 128 * 1024;
     /** Steps of all occurrences of an accepted job. */
--- a/src/batch/messages.h
+++ b/src/batch/messages.h
@@ -41,6 +41,8 @@
     std::vector<RunId> stops;
     /** Ended runs up to this number are recorded in the store. */
     std::uint64_t acknowledged = 0;
+    /** Not sent: the host has further starts, which follow once it has listed some of these. */
+    bool hasWithheldStarts = false;
 
     MSGPACK_DEFINE(version, incarnation, runs, stops, acknowledged);
 };
--- a/src/batch/relayed_store.h
+++ b/src/batch/relayed_store.h
@@ -178,7 +178,8 @@
         directResult.outcome = store::WriteOutcome::NotSent;
         if (shouldTryDirect()) {
             directResult = co_await m_direct.transact(writes, directDeadline(deadline));
-            const bool isDefinite = directResult.outcome == store::WriteOutcome::Applied || directResult.outcome == store::WriteOutcome::Conflict;
+            const bool isDefinite = directResult.outcome == store::WriteOutcome::Applied || directResult.outcome == store::WriteOutcome::Conflict
+                || directResult.outcome == store::WriteOutcome::Rejected;
             recordDirectResult(isDefinite ? absl::OkStatus() : absl::UnavailableError(directResult.reason));
             if (isDefinite || !hasTime(deadline)) {
                 co_return directResult;
--- a/src/batch/scheduler.h
+++ b/src/batch/scheduler.h
@@ -49,7 +49,7 @@
         , m_maxGrant(settings.maxExecutorLease - GrantMargin)
         , m_planner(plannerBounds(settings))
         , m_feed(store)
-        , m_records(settings, store, metrics)
+        , m_records(executor, settings, store, metrics)
         , m_admissionRecords(settings, store, metrics)
         , m_speedRecords(settings, store)
         , m_wake(executor)
@@ -265,6 +265,7 @@
         if (hasNewerOrders(term, call)) {
             reply.orders = orders->second;
             dropKnownPayloads(reply.orders, call);
+            addPayloads(reply.orders, term.workload);
         } else {
             reply.orders.version = orders->second.version;
         }
@@ -287,6 +288,15 @@
         }
     }
 
+    static void addPayloads(Orders &orders, const Workload &workload)
+    {
+        for (auto &order : orders.runs) {
+            const Job *job = order.isComplete ? workload.findJob(order.run.task.job) : nullptr;
+            order.isComplete = job != nullptr;
+            order.payload = job != nullptr ? job->spec.payload : std::string();
+        }
+    }
+
     /** Takes the office whenever it is free, and follows who has it. A stopping entry still follows: callers ask it until its process ends. */
     asio::awaitable<void> runElections([[maybe_unused]] std::shared_ptr<Scheduler> self)
     {
@@ -412,6 +422,9 @@
         spawnLoop(m_executor, "follow jobs", [self, term] {
             return self->m_feed.follow(term);
         });
+        spawnLoop(m_executor, "write large records", [self, term] {
+            return self->m_records.writeApart(term);
+        });
         spawnLoop(m_executor, "remove expired jobs", [self, term] {
             return self->m_records.removeExpiredJobs(term);
         });
@@ -543,12 +556,16 @@
             log::write(log::Severity::Info, event.name, fields);
         }
         recordTimings(term.workload.takeTimings());
+        // What goes into a record that is written apart must not be in the orders yet, so the records come first.
+        auto records = m_records.encode(term);
         auto changed = collectChangedOrders(term.workload);
         const auto decisionTime = runtime::Clock::now() - begin;
         m_roundSeconds.record(decisionTime);
-        const bool isRecorded = co_await m_records.write(term);
-        if (isRecorded) {
+        const auto result = co_await m_records.write(term, std::move(records));
+        if (result == RecordResult::Written) {
             term.publish(std::move(changed));
+        } else if (result == RecordResult::Refused) {
+            term.workload.markOrdersChanged(changed);
         }
         co_return decisionTime;
     }
@@ -605,7 +622,11 @@
     {
         std::map<HostId, Orders> changed;
         for (const auto &id : workload.takeChangedHosts()) {
-            changed[id] = workload.ordersFor(workload.hosts().at(id));
+            Orders &orders = changed[id] = workload.takeOrders(id);
+            // Payloads are the same for all tasks of a job, so they are added when a reply is sent.
+            for (auto &order : orders.runs) {
+                order.payload = std::string();
+            }
         }
         return changed;
     }
--- a/src/batch/term.h
+++ b/src/batch/term.h
@@ -46,6 +46,10 @@
     static constexpr std::size_t RecordsPerTransaction = 15;
     /** Bytes of records per transaction, unless a single record is larger: a slow line must take them within StoreCallTimeout. */
     static constexpr std::size_t BytesPerTransaction = 128 * 1024;
+    /** Bytes of one record: the largest value of the store is a megabyte. */
+    static constexpr std::size_t MaxRecordBytes = 768 * 1024;
+    /** Pace of the records that are written apart from the rounds. */
+    static constexpr double ApartBytesPerSecond = 512.0 * 1024;
     static constexpr std::chrono::seconds CleanupInterval{5};
     /** How often the leader decides which workspaces are closed to further jobs. */
     static constexpr std::chrono::milliseconds AdmissionInterval{100};
@@ -105,6 +109,7 @@
             next.version = current.version + 1;
             current = std::move(next);
             workload.confirmPublished(host, current.incarnation);
+            workload.noteAcknowledged(host, current);
             published(host).notify();
         }
     }
--- a/src/batch/waiting_order.cpp
+++ b/src/batch/waiting_order.cpp
@@ -64,9 +64,12 @@
 bool WaitingOrder::mayOpen(const Candidate &candidate)
 {
     const Job &job = *candidate.ref.job;
-    if (!job.isSparse() || !candidate.ref.unit->isFresh()) {
+    if (job.taskCount <= JobLimits::OpenTasks || !candidate.ref.unit->isFresh()) {
         return true;
     }
+    if (job.recordBytes > JobLimits::RecordBytes) {
+        return false;
+    }
     auto open = m_openTasks.find(&job);
     if (open == m_openTasks.end()) {
         open = m_openTasks.emplace(&job, job.openTasks()).first;
@@ -77,7 +80,7 @@
 
 void WaitingOrder::noteOpened(const Candidate &candidate)
 {
-    if (candidate.ref.job->isSparse() && candidate.ref.unit->isFresh()) {
+    if (candidate.ref.job->taskCount > JobLimits::OpenTasks && candidate.ref.unit->isFresh()) {
         m_openTasks[candidate.ref.job] += tasksOf(candidate);
     }
 }
@@ -139,7 +142,7 @@
 {
     std::vector<Candidate> all;
     for (Job *job : m_workload.activeJobs()) {
-        if (job->waitingUnits == 0) {
+        if (job->waitingUnits == 0 || m_now < job->suspendedUntil) {
             continue;
         }
         const int shareLevel = m_workload.fairShare().level(job->spec.workspace);
--- a/src/batch/waiting_order.h
+++ b/src/batch/waiting_order.h
@@ -90,7 +90,7 @@
     Instant m_now;
     WallTime m_wallNow;
     std::set<const Job *> m_guaranteedJobs;
-    /** Open tasks of sparse jobs, those of units that start in this round included. */
+    /** Open tasks of jobs with more tasks than may be open, those of units that start in this round included. */
     std::map<const Job *, std::size_t> m_openTasks;
 };
 
--- a/src/batch/workload.cpp
+++ b/src/batch/workload.cpp
@@ -94,6 +94,7 @@
     for (const auto &step : job.spec.steps) {
         job.stepOffsets.push_back(job.unitsPerOccurrence);
         job.unitsPerOccurrence += unitCount(step);
+        job.taskCount += static_cast<std::size_t>(step.tasks) * std::max(job.spec.occurrences, 1U);
     }
     const std::uint32_t occurrences = std::max(job.spec.occurrences, 1U);
     job.unitCount = job.unitsPerOccurrence * occurrences;
@@ -285,6 +286,13 @@
     }
 }
 
+void Workload::markOrdersChanged(const std::map<HostId, Orders> &collected)
+{
+    for (const auto &[id, orders] : collected) {
+        m_changedHosts.insert(id);
+    }
+}
+
 std::set<HostId> Workload::takeChangedHosts()
 {
     return std::exchange(m_changedHosts, {});
@@ -328,6 +336,7 @@
         member.host = id;
         member.incarnation = m_hosts.at(id).report.incarnation;
         member.percent = unit.savedPercent;
+        member.firstRecord = ref.job->nextRecord;
         member.orderedAt = member.startedAt = member.progressedAt = now;
         addMember(ref, std::move(member));
         names += (names.empty() ? "" : ",") + id.value();
@@ -485,7 +494,10 @@
 
 void Workload::countFailure(Job &job, Unit &unit, const Member &member, Instant now)
 {
-    unit.failures.insert(unit.attempt);
+    // Nothing limits the failures of a task that lasts, so they aren't kept: its record would grow for as long as it fails.
+    if (!job.stepOf(unit).isLongRunning) {
+        unit.failures.insert(unit.attempt);
+    }
     Host &host = hostFor(member.host);
     const bool failedElsewhere = std::any_of(unit.failedHosts.begin(), unit.failedHosts.end(), [&](const HostId &other) {
         return other != member.host;
@@ -534,30 +546,121 @@
     host.hasUnpublishedLosses = host.hasUnpublishedLosses && !canTake;
 }
 
+void Workload::noteAcknowledged(const HostId &id, const Orders &published)
+{
+    Host &host = hostFor(id);
+    if (host.report.incarnation == published.incarnation) {
+        host.acknowledgedEnds = published.acknowledged;
+    }
+}
+
 bool Workload::mayRenewLease(const SyncCall &call) const
 {
     const auto host = m_hosts.find(call.host);
     return call.isExecutorReached && (host == m_hosts.end() || !host->second.hasUnpublishedLosses);
 }
 
+void Workload::beginApart(Job &job)
+{
+    job.isRecordedApart = true;
+    // Which of the ends since the last record are the job's isn't known any more.
+    for (auto &[id, host] : m_hosts) {
+        if (host.processedEnds > host.acknowledgedEnds) {
+            host.unrecordedEnds.push_back({job.spec.id, job.nextRecord, host.acknowledgedEnds + 1});
+        }
+    }
+}
+
+std::uint64_t Workload::beginRecord(Job &job, std::size_t bytes, Instant now)
+{
+    job.isDirty = false;
+    job.hasNewCheckpoint = false;
+    job.recordedAt = now;
+    job.recordBytes = bytes;
+    const std::uint64_t record = job.nextRecord++;
+    job.lastRecord = job.isRecordedApart ? job.lastRecord : record;
+    return record;
+}
+
+void Workload::noteRecorded(Job &job, std::uint64_t record)
+{
+    for (const auto &unit : job.units) {
+        for (const auto &member : unit.members) {
+            if (member.firstRecord > job.lastRecord && member.firstRecord <= record) {
+                m_changedHosts.insert(member.host);
+            }
+        }
+    }
+    for (auto &[id, host] : m_hosts) {
+        const auto recorded = std::erase_if(host.unrecordedEnds, [&](const UnrecordedEnd &end) {
+            return end.job == job.spec.id && end.record <= record;
+        });
+        if (recorded > 0) {
+            m_changedHosts.insert(id);
+        }
+    }
+    job.lastRecord = record;
+    job.isRecordedApart = job.isDirty || job.recordBytes > JobLimits::ApartRecordBytes / 2;
+}
+
+void Workload::refuseRecord(Job &job, std::uint64_t record, Instant now)
+{
+    job.lastRecord = std::min(job.lastRecord, record - 1);
+    job.isDirty = true;
+    if (!job.isRecordedApart) {
+        beginApart(job);
+    }
+    job.suspendedUntil = now + SuspensionOfJob;
+    for (auto &unit : job.units) {
+        const bool isUnrecorded = unit.phase == UnitPhase::Placed && unit.members.front().firstRecord > job.lastRecord;
+        if (isUnrecorded) {
+            markOrdersChanged(unit);
+            clearMembers(job, unit);
+            unit.stopReason = StopReason::None;
+            unit.waitingSince = now;
+            job.setPhase(unit, UnitPhase::Waiting);
+        }
+    }
+    log("job suspended", {{"job", job.spec.id.value()}, {"record_bytes", std::to_string(job.recordBytes)}});
+}
+
+Orders Workload::takeOrders(const HostId &id)
+{
+    Host &host = m_hosts.at(id);
+    Orders orders = ordersFor(host);
+    host.hasWithheldStarts = orders.hasWithheldStarts;
+    return orders;
+}
+
 Orders Workload::ordersFor(const Host &host) const
 {
     Orders orders;
     orders.incarnation = host.report.incarnation;
     orders.acknowledged = host.processedEnds;
+    for (const auto &end : host.unrecordedEnds) {
+        orders.acknowledged = std::min(orders.acknowledged, end.number - 1);
+    }
+    std::size_t startBytes = 0;
     orders.stops.assign(host.unexpectedRuns.begin(), host.unexpectedRuns.end());
     for (const auto &[job, unit] : host.units) {
         const bool shouldRun = unit->phase == UnitPhase::Placed;
         const bool shouldStop = unit->stopReason != StopReason::None;
         for (std::size_t i = 0; i < unit->members.size(); ++i) {
             const Member &member = unit->members[i];
-            if (member.host != host.id || member.phase == MemberPhase::Ended || (!shouldRun && !shouldStop)) {
+            const bool isWithheld = job->isRecordedApart && member.firstRecord > job->lastRecord;
+            if (member.host != host.id || member.phase == MemberPhase::Ended || (!shouldRun && !shouldStop) || isWithheld) {
                 continue;
             }
             const RunId run{job->taskOf(*unit, i), unit->attempt};
             if (shouldStop) {
                 orders.stops.push_back(run);
             } else if (member.phase == MemberPhase::Ordered) {
+                const std::size_t bytes = job->spec.payload.size() + unit->checkpoint.size();
+                if (startBytes > 0 && startBytes + bytes > StartBytes) {
+                    orders.hasWithheldStarts = true;
+                    continue;
+                }
+                startBytes += bytes;
                 orders.runs.push_back({run, job->spec.payload, unit->checkpoint, true});
             } else {
                 // The host has listed the run, so it needs neither payload nor checkpoint any more.
--- a/src/batch/workload.h
+++ b/src/batch/workload.h
@@ -54,6 +54,8 @@
     double paceWeight = 0;
     /** It made no progress for a while, so its pace from its start says nothing about its host. */
     bool hasPaused = false;
+    /** The first record of its job that has it; 0: it was in the record that this leader read. */
+    std::uint64_t firstRecord = 0;
 };
 
 enum class UnitPhase {
@@ -154,6 +156,20 @@
     /** A running unit has a checkpoint that the state record doesn't contain yet. */
     bool hasNewCheckpoint = false;
     Instant recordedAt;
+    /** Number of the next record of this term, and of the last one that is in the store. */
+    std::uint64_t nextRecord = 1;
+    std::uint64_t lastRecord = 0;
+    /** Bytes of the last record. */
+    std::size_t recordBytes = 0;
+    /**
+     * The record is large, and is written apart from the rounds. What the store doesn't have yet is neither ordered nor acknowledged. Otherwise a
+     * round publishes nothing before all records of its changes are written.
+     */
+    bool isRecordedApart = false;
+    /** A write of the record is under way. */
+    bool isBeingRecorded = false;
+    /** The store can't take the record: nothing of the job is started or recorded before this time. */
+    Instant suspendedUntil;
     Instant acceptedAt;
     /** When the first occurrence is due; the time of acceptance if the job runs once. */
     Instant firstDueAt;
@@ -162,8 +178,9 @@
     /** Offset of a step's first unit within one occurrence. */
     std::vector<std::size_t> stepOffsets;
     std::size_t unitsPerOccurrence = 0;
-    /** Number of units of all occurrences. */
+    /** Numbers of units and of tasks of all occurrences. */
     std::size_t unitCount = 0;
+    std::size_t taskCount = 0;
     /** By occurrence and step. */
     std::vector<StepUnits> stepUnits;
     /** All units of earlier occurrences are done. */
@@ -226,6 +243,14 @@
     }
 };
 
+/** An end that isn't recorded yet, so it must not be acknowledged. */
+struct UnrecordedEnd {
+    base::JobId job;
+    /** Number of the record that will have it. */
+    std::uint64_t record = 0;
+    std::uint64_t number = 0;
+};
+
 struct Host {
     HostId id;
     /** Hosts are numbered from 0 in the order in which they become known. */
@@ -251,6 +276,12 @@
     std::uint64_t sequence = 0;
     /** Ended runs up to this number are reflected in the jobs' states. */
     std::uint64_t processedEnds = 0;
+    /** Ended runs up to this number are acknowledged by the orders that were published last. */
+    std::uint64_t acknowledgedEnds = 0;
+    /** Ends that a record written apart is yet to have; one element for each job and record. */
+    std::vector<UnrecordedEnd> unrecordedEnds;
+    /** Starts are left out of the host's orders until it has listed earlier ones. */
+    bool hasWithheldStarts = false;
     /** Listed runs that no job expects on this host; they are ordered to stop. */
     std::set<RunId> unexpectedRuns;
     /** Failed runs since the last success, counting only units that had not failed on other hosts before. */
@@ -327,6 +358,19 @@
 
     /** Places a unit as a new attempt. The job's state must be recorded before the order is sent to any host. */
     void place(UnitRef ref, const std::vector<HostId> &hosts, Instant now);
+    /**
+     * From now on the job's record is written apart from the rounds: until noteRecorded(), its changes since the last record are withheld from
+     * orders and acknowledgements.
+     */
+    void beginApart(Job &job);
+    /** Notes that the changes of the job so far go into its next record, and returns the number of that. */
+    std::uint64_t beginRecord(Job &job, std::size_t bytes, Instant now);
+    /** Notes that the store has the record of that number. */
+    void noteRecorded(Job &job, std::uint64_t record);
+    /** Makes these hosts' orders be collected again. */
+    void markOrdersChanged(const std::map<HostId, Orders> &collected);
+    /** Notes that the store can't take the record: takes back what isn't recorded, and suspends the job for a while. */
+    void refuseRecord(Job &job, std::uint64_t record, Instant now);
     /** Orders a placed unit to stop; the first reason given is kept. */
     void stop(UnitRef ref, StopReason reason);
     /** Records the service that workspaces use beyond their guarantees, and the waiting units that others went ahead of because of it. */
@@ -341,6 +385,8 @@
     }
     /** Forgets old losses of hosts, and logs which hosts have become doubtful or no longer are. */
     void updateHostLosses(Instant now);
+    /** The host's complete orders. Notes whether starts are left out. */
+    [[nodiscard]] Orders takeOrders(const HostId &id);
     /** Marks jobs with new checkpoints as dirty once the checkpoint interval has passed. */
     void markCheckpoints(Instant now);
 
@@ -368,12 +414,14 @@
     [[nodiscard]] std::set<HostId> takeChangedHosts();
     /** Notes that the agent of the host can have orders for the incarnation; it takes them if its report names the same one. */
     void confirmPublished(const HostId &id, const HostIncarnation &incarnation);
+    /** Notes which ends the published orders acknowledge. */
+    void noteAcknowledged(const HostId &id, const Orders &published);
     /**
      * Whether the host's agent may go on renewing the executor's lease, according to a call that was applied. After a long silence it may not
      * until it can have orders without the runs that were given up: with older ones it would start them beside their next attempts.
      */
     [[nodiscard]] bool mayRenewLease(const SyncCall &call) const;
-    /** The complete orders for a host: what it should run and what it should stop. */
+    /** The complete orders for a host: what it should run and what it should stop. Starts beyond StartBytes wait until it has listed earlier ones. */
     [[nodiscard]] Orders ordersFor(const Host &host) const;
     [[nodiscard]] JobState recordOf(const Job &job) const;
     /** Time since the last call of the reachable host that has been silent for longest. */
@@ -381,6 +429,12 @@
     /** Whether the host may be given work: it has listed its runs, and its agent has called recently and reaches the executor. */
     [[nodiscard]] bool isReachable(const Host &host, Instant now) const;
 
+    /** Null if the job isn't known. */
+    [[nodiscard]] const Job *findJob(const base::JobId &id) const
+    {
+        const auto found = m_jobs.find(id);
+        return found != m_jobs.end() ? &found->second : nullptr;
+    }
     [[nodiscard]] std::map<base::JobId, Job> &jobs()
     {
         return m_jobs;
@@ -418,6 +472,10 @@
     [[nodiscard]] std::vector<JobTiming> takeTimings();
     void log(std::string name, std::vector<std::pair<std::string, std::string>> fields);
 
+    /** Bytes of payloads and checkpoints that a host is sent at a time for runs that it has not listed. */
+    static constexpr std::size_t StartBytes = 512 * 1024;
+    /** How long a job is suspended whose record the store can't take. */
+    static constexpr std::chrono::seconds SuspensionOfJob{5};
     /** A host that has been silent for longer gets no new work: two long-polling sync calls plus network delay. */
     static constexpr std::chrono::milliseconds ContactTimeout{2600};
 
@@ -435,6 +493,8 @@
     /** How many times as long a member takes away from its data's rack, or in a gang that is spread over several racks. */
     [[nodiscard]] double remoteSlowdown(const Step &step, const Unit &unit, const Member &member) const;
     bool applyEndedRuns(Host &host, const SyncCall &call, Instant now, WallTime wallNow);
+    /** Notes that the end may be acknowledged only once the job's next record, which is written apart, is in the store. */
+    void holdAcknowledgement(Host &host, const Ended &ended);
     bool applyBarredRuns(Host &host, const SyncCall &call, Instant now, WallTime wallNow);
     /** Counts a crash for each unit that had a run on the executor, and gives up the jobs of those that are likely to be the cause. */
     bool applyCrashedRuns(Host &host, const SyncCall &call, Instant now, WallTime wallNow);
--- a/src/batch/workload_reports.cpp
+++ b/src/batch/workload_reports.cpp
@@ -180,6 +180,8 @@
     if (isNew) {
         host.isListed = false;
         host.processedEnds = 0;
+        host.acknowledgedEnds = 0;
+        host.unrecordedEnds.clear();
         host.unexpectedRuns.clear();
         host.consecutiveFailures = 0;
         host.suspendedUntil = Instant();
@@ -206,6 +208,9 @@
         Member &member = unit.members[found->second];
         if (member.phase == MemberPhase::Ordered) {
             isChanged = true;
+            if (host.hasWithheldStarts) {
+                m_changedHosts.insert(host.id);
+            }
             member.phase = MemberPhase::Running;
             member.startedAt = member.progressedAt = now;
             member.percent = member.firstPercent = running.percent;
@@ -363,10 +368,26 @@
         } else {
             applyLateEnd(ended, now, wallNow);
         }
+        holdAcknowledgement(host, ended);
     }
     return isChanged;
 }
 
+void Workload::holdAcknowledgement(Host &host, const Ended &ended)
+{
+    const auto found = m_jobs.find(ended.run.task.job);
+    if (found == m_jobs.end() || !found->second.isRecordedApart || !found->second.isDirty) {
+        return;
+    }
+    const Job &job = found->second;
+    const bool isHeld = std::any_of(host.unrecordedEnds.begin(), host.unrecordedEnds.end(), [&](const UnrecordedEnd &end) {
+        return end.job == job.spec.id && end.record == job.nextRecord;
+    });
+    if (!isHeld) {
+        host.unrecordedEnds.push_back({job.spec.id, job.nextRecord, ended.number});
+    }
+}
+
 void Workload::applyLateEnd(const Ended &ended, Instant now, WallTime wallNow)
 {
     const auto job = m_jobs.find(ended.run.task.job);
--- a/src/requests/claim_store.h
+++ b/src/requests/claim_store.h
@@ -221,6 +221,7 @@
             co_await resolveConflict(std::move(batch));
             co_return;
         case store::WriteOutcome::NotSent:
+        case store::WriteOutcome::Rejected:
         case store::WriteOutcome::Unknown:
             m_isStoreDown = true;
             for (const auto &pending : batch) {
--- a/src/store/key_value.h
+++ b/src/store/key_value.h
@@ -88,6 +88,8 @@
     Conflict,
     /** Known not to have taken effect: it never left this process. */
     NotSent,
+    /** Known not to have taken effect: the store doesn't accept it as it is, however often it is sent. */
+    Rejected,
     /** The answer was lost: it may have taken effect, or still may. */
     Unknown,
 };
--- a/tests/batch/large_job_test.cpp
+++ b/tests/batch/large_job_test.cpp
@@ -262,3 +262,116 @@
     REQUIRE(placed == std::set<std::uint32_t>{5, 700, 1999});
     REQUIRE(fixture.workload.recordOf(fixture.workload.jobs().at(spec.id)).doneRanges.size() == 3);
 }
+
+TEST_CASE("What a large record is yet to have is neither ordered nor acknowledged")
+{
+    WorkloadFixture fixture;
+    fixture.addHost("a", "r1-1");
+    auto &big = fixture.addJob("big", "patient", "rif", {tinyStep(200)});
+    fixture.addJob("other", "urgent", "atlas", {WorkloadFixture::step(1, 1, 1s)});
+    fixture.runRound();
+    const batch::HostId host("a");
+    const auto orders = [&] {
+        return fixture.workload.takeOrders(host);
+    };
+    fixture.workload.beginApart(big);
+    REQUIRE(orders().runs.size() == 1);
+    const auto first = fixture.workload.beginRecord(big, 100'000, fixture.now);
+    REQUIRE(orders().runs.size() == 1);
+    static_cast<void>(fixture.workload.takeChangedHosts());
+    fixture.workload.noteRecorded(big, first);
+    REQUIRE(fixture.workload.takeChangedHosts() == std::set<batch::HostId>{host});
+    REQUIRE(orders().runs.size() == 201);
+
+    fixture.reportOrdersRunning("a", 10);
+    fixture.reportEnd("a", WorkloadFixture::run("other", 0, 0, 1), batch::EndKind::Done);
+    fixture.reportEnd("a", WorkloadFixture::run("big", 0, 0, 1), batch::EndKind::Done);
+    fixture.reportEnd("a", WorkloadFixture::run("big", 0, 1, 1), batch::EndKind::Done);
+    REQUIRE(orders().acknowledged == 1);
+    const auto second = fixture.workload.beginRecord(big, 100'000, fixture.now);
+    // An end that comes while the record is being written isn't in it.
+    fixture.reportEnd("a", WorkloadFixture::run("big", 0, 2, 1), batch::EndKind::Done);
+    REQUIRE(orders().acknowledged == 1);
+    fixture.workload.noteRecorded(big, second);
+    REQUIRE(orders().acknowledged == 3);
+    fixture.workload.noteRecorded(big, fixture.workload.beginRecord(big, 1000, fixture.now));
+    REQUIRE(orders().acknowledged == 4);
+    REQUIRE_FALSE(big.isRecordedApart);
+}
+
+TEST_CASE("Ends from before a record became large wait for it, too")
+{
+    WorkloadFixture fixture;
+    fixture.addHost("a", "r1-1");
+    auto &big = fixture.addJob("big", "patient", "rif", {tinyStep(200)});
+    fixture.runRound();
+    fixture.workload.beginRecord(big, 1000, fixture.now);
+    fixture.reportOrdersRunning("a", 10);
+    fixture.reportEnd("a", WorkloadFixture::run("big", 0, 0, 1), batch::EndKind::Done);
+    fixture.workload.beginApart(big);
+    REQUIRE(fixture.workload.takeOrders(batch::HostId("a")).acknowledged == 0);
+    fixture.workload.noteRecorded(big, fixture.workload.beginRecord(big, 100'000, fixture.now));
+    REQUIRE(fixture.workload.takeOrders(batch::HostId("a")).acknowledged == 1);
+}
+
+TEST_CASE("A job whose record is refused takes back what no host knows of, and is suspended for a while")
+{
+    WorkloadFixture fixture;
+    fixture.addHost("a", "r1-1");
+    auto &big = fixture.addJob("big", "patient", "rif", {WorkloadFixture::step(70, 0, 10s)});
+    fixture.runRound();
+    REQUIRE(big.unitsWithMembers == 64);
+    const auto record = fixture.workload.beginRecord(big, 1000, fixture.now);
+    fixture.workload.refuseRecord(big, record, fixture.now);
+    REQUIRE(big.unitsWithMembers == 0);
+    REQUIRE(fixture.workload.takeOrders(batch::HostId("a")).runs.empty());
+    fixture.advanceClock(1s);
+    REQUIRE(fixture.runRound().placements.empty());
+    fixture.advanceClock(batch::Workload::SuspensionOfJob);
+    REQUIRE(fixture.runRound().placements.size() == 64);
+}
+
+TEST_CASE("A record doesn't grow for as long as a task that lasts fails, or a gang's hosts crash")
+{
+    WorkloadFixture fixture;
+    fixture.addHost("a", "r1-1");
+    batch::Step lasting = WorkloadFixture::step(1, 1, 1s);
+    lasting.isLongRunning = true;
+    auto &job = fixture.addJob("job", "patient", "rif", {lasting});
+    std::size_t bytes = 0;
+    for (std::uint64_t attempt = 1; attempt <= 300; ++attempt) {
+        fixture.runRound();
+        fixture.reportOrdersRunning("a", 10);
+        if (job.unitsWithMembers == 1) {
+            fixture.reportEnd("a", WorkloadFixture::run("job", 0, 0, job.units.at(0).attempt.value()), batch::EndKind::Failed);
+        }
+        fixture.advanceClock(10s);
+        bytes = attempt == 10 ? wire::encode(fixture.workload.recordOf(job)).size() : bytes;
+    }
+    REQUIRE(job.units.at(0).attempt.value() > 100);
+    REQUIRE(wire::encode(fixture.workload.recordOf(job)).size() <= bytes + 16);
+
+    batch::Crashes crashes;
+    for (std::uint32_t task = 0; task < 5000; ++task) {
+        batch::addCrash(crashes, {batch::Attempt(1), task, batch::HostId("a"), batch::CrashBlame::Bystander, batch::RunBegin::Certain});
+    }
+    REQUIRE(crashes.size() == batch::CrashLimits::Kept);
+    // A crash for which the task may be to blame is kept.
+    REQUIRE(batch::addCrash(crashes, {batch::Attempt(1), 6000, batch::HostId("a"), batch::CrashBlame::Sole, batch::RunBegin::Certain}));
+    REQUIRE(batch::countCrashes(crashes, 6000) == 1);
+}
+
+TEST_CASE("A job of several large gangs starts one after the other")
+{
+    WorkloadFixture fixture;
+    for (const std::string host : {"a", "b", "c"}) {
+        fixture.addHost(host, "r1-1");
+    }
+    batch::Step gang = tinyStep(2500);
+    gang.isGang = true;
+    auto &job = fixture.addJob("job", "patient", "rif", {gang, gang});
+    fixture.runRound();
+    REQUIRE(job.unitsWithMembers == 1);
+    fixture.runRound();
+    REQUIRE(job.unitsWithMembers == 1);
+}
--- a/tests/batch/scheduler_test.cpp
+++ b/tests/batch/scheduler_test.cpp
@@ -1,6 +1,9 @@
 /** The leader on an in-memory store: what it records before it sends orders, and its replies while its lease may have lapsed. */
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+#include <set>
+
 #include <boost/asio/io_context.hpp>
 
 #include "batch/scheduler.h"
@@ -50,15 +53,16 @@
         return *entries.back();
     }
 
-    void addJob(const std::string &id)
+    void addJob(const std::string &id, std::uint32_t tasks = 1, const std::string &payload = "text")
     {
         batch::JobSpec spec;
         spec.id = base::JobId(id);
         spec.queue = batch::QueueId("q");
         spec.service = base::ServiceId("ledger");
-        spec.payload = "text";
+        spec.payload = payload;
         spec.steps.emplace_back();
-        spec.steps.back().need = {100, 100, 0};
+        spec.steps.back().tasks = tasks;
+        spec.steps.back().need = {tasks > 1 ? 10 : 100, tasks > 1 ? 10 : 100, 0};
         spec.steps.back().estimate = 10s;
         store::Write write;
         write.key = batch::keys::job(spec.id, batch::keys::JobPart::Spec);
@@ -74,10 +78,13 @@
         call.agentIncarnation = 1;
         call.sequence = ++sequence;
         call.hasReport = true;
-        call.report.incarnation = {"i-1", 1};
+        call.report.incarnation = {incarnation, 1};
         call.report.service = base::ServiceId("ledger");
         call.report.capacity = {64'000, 256'000, 8};
         call.isExecutorReached = true;
+        for (const auto &run : running) {
+            call.running.push_back({run, "", 1});
+        }
         call.token = token;
         call.listToken = token;
         return call;
@@ -122,6 +129,9 @@
     std::vector<std::unique_ptr<Entry>> entries;
     std::uint64_t sequence = 0;
     base::FencingToken token;
+    /** The executor's instance, and what it runs. */
+    std::string incarnation = "i-1";
+    std::vector<batch::RunId> running;
 };
 
 bool isFromLeader(const batch::SyncReply &reply)
@@ -380,7 +390,7 @@
     REQUIRE(decoded.ok());
     term->workload.addJob(*decoded, state, runtime::Clock::now(), batch::wallNow());
 
-    batch::StateRecords<tests::MemoryStore> records(settings, store, metrics);
+    batch::StateRecords<tests::MemoryStore> records(fixture.context.get_executor(), settings, store, metrics);
     boost::asio::co_spawn(fixture.context, records.removeExpiredJobs(term), boost::asio::detached);
     SECTION("which has passed to another entry")
     {
@@ -444,3 +454,83 @@
     CHECK((record.entries.empty() || record.entries.front().session.isEmpty()));
     fixture.stop();
 }
+
+namespace
+{
+
+/** The ordered runs of the job. */
+std::size_t countRuns(const batch::SyncReply &reply, const std::string &job)
+{
+    return static_cast<std::size_t>(std::count_if(reply.orders.runs.begin(), reply.orders.runs.end(), [&](const batch::RunOrder &order) {
+        return order.run.task.job.value() == job;
+    }));
+}
+
+} // namespace
+
+TEST_CASE("A job whose record the store doesn't take keeps no other job from running")
+{
+    // The write of a record larger than a value of the store was repeated for good, and nothing of anybody was started (review/9).
+    const std::uint32_t tasks = GENERATE(60U, 2000U);
+    CAPTURE(tasks);
+    Fixture fixture;
+    auto &entry = fixture.addEntry("e1");
+    entry.store.setMostValueBytes(500);
+    fixture.addJob("big", tasks);
+    fixture.addJob("first");
+    fixture.syncUntil(entry, [](const batch::SyncReply &received) {
+        return countRuns(received, "first") == 1;
+    });
+    fixture.addJob("second");
+    const auto reply = fixture.syncUntil(entry, [](const batch::SyncReply &received) {
+        return countRuns(received, "first") == 1 && countRuns(received, "second") == 1;
+    });
+    // Nothing is started that isn't recorded, and the write isn't repeated without a pause.
+    REQUIRE(countRuns(reply, "big") == 0);
+    tests::runOn(fixture.context, runtime::sleepFor(2s));
+    REQUIRE(entry.store.rejections() < 10);
+    REQUIRE(fixture.data->read(batch::keys::state(base::JobId("big")), false).entries.empty());
+    fixture.stop();
+}
+
+TEST_CASE("A large record delays no other job, and its starts are ordered once it is written")
+{
+    Fixture fixture;
+    auto &entry = fixture.addEntry("e1");
+    fixture.syncUntil(entry, isFromLeader);
+    fixture.incarnation = "i-1-with-a-long-name-so-that-the-record-of-two-thousand-runs-is-large";
+    fixture.addJob("big", 2000);
+    const auto reply = fixture.syncUntil(entry, [](const batch::SyncReply &received) {
+        return countRuns(received, "big") == 2000;
+    });
+    REQUIRE(reply.orders.runs.front().payload == "text");
+    const auto found = fixture.data->read(batch::keys::state(base::JobId("big")), false);
+    REQUIRE(found.entries.size() == 1);
+    REQUIRE(found.entries.front().value.size() > batch::JobLimits::ApartRecordBytes);
+    REQUIRE(wire::decode<batch::JobState>(found.entries.front().value)->units.size() == 2000);
+    fixture.stop();
+}
+
+TEST_CASE("A host is sent the payloads of its starts in parts that a message can hold")
+{
+    // A reply with the payloads of 1,200 tasks exceeded what a call between daemons takes, so the host never got any orders again.
+    Fixture fixture;
+    auto &entry = fixture.addEntry("e1");
+    fixture.addJob("big", 1200, std::string(4000, 'x'));
+    std::set<batch::RunId> ordered;
+    std::size_t largest = 0;
+    while (ordered.size() < 1200) {
+        const auto before = ordered.size();
+        fixture.running.assign(ordered.begin(), ordered.end());
+        fixture.syncUntil(entry, [&](const batch::SyncReply &received) {
+            largest = std::max(largest, wire::encode(received).size());
+            for (const auto &order : received.orders.runs) {
+                REQUIRE((order.isComplete ? order.payload.size() == 4000 : ordered.contains(order.run)));
+                ordered.insert(order.run);
+            }
+            return ordered.size() > before;
+        });
+    }
+    REQUIRE(largest < 1024 * 1024);
+    fixture.stop();
+}
--- a/tests/platform/job_feed_test.cpp
+++ b/tests/platform/job_feed_test.cpp
@@ -85,3 +85,22 @@
     }
     REQUIRE(leader.term->workload.jobs().size() == 1);
 }
+
+TEST_CASE("A leader learns of more new jobs than one answer of a watch can hold")
+{
+    // The watch was repeated from the same revision for good, so the leader would have seen no new job any more.
+    TermOverSlowLine leader(400'000'000);
+    REQUIRE(leader.runUntilLoaded(5s));
+    tests::runOn(leader.context, runtime::sleepFor(100ms));
+    constexpr int Jobs = 90;
+    for (int i = 0; i < Jobs; ++i) {
+        leader.addCancelledJob("late-" + std::to_string(i), 100'000);
+    }
+    const auto deadline = runtime::Clock::now() + 10s;
+    while (leader.term->workload.jobs().size() < Jobs && runtime::Clock::now() < deadline) {
+        tests::runOn(leader.context, runtime::sleepFor(10ms));
+    }
+    REQUIRE(leader.term->workload.jobs().size() == Jobs);
+    leader.term->isOver = true;
+    tests::runOn(leader.context, runtime::sleepFor(1500ms));
+}
--- a/tests/platform/store_client_test.cpp
+++ b/tests/platform/store_client_test.cpp
@@ -76,3 +76,26 @@
     };
     tests::runOn(context, read());
 }
+
+TEST_CASE("A write that the store doesn't accept as it is is told from one that may be repeated")
+{
+    boost::asio::io_context context{1};
+    metrics::Registry metrics;
+    unsigned status = 0;
+    const auto server = standins::listen(context, {"127.0.0.1", 0}, [&](http::Request) -> boost::asio::awaitable<http::Response> {
+        co_return http::Response::json(status, "{}");
+    });
+    platform::StoreClient client(context.get_executor(), {"127.0.0.1", server->port()}, metrics);
+    const auto outcome = [&](unsigned answer) {
+        status = answer;
+        store::Write write;
+        write.key = "key";
+        return tests::runOn(context, client.transact({write}, runtime::Clock::now() + 5s)).outcome;
+    };
+    REQUIRE(outcome(400) == store::WriteOutcome::Rejected);
+    REQUIRE(outcome(413) == store::WriteOutcome::Rejected);
+    REQUIRE(outcome(412) == store::WriteOutcome::Conflict);
+    REQUIRE(outcome(429) == store::WriteOutcome::NotSent);
+    REQUIRE(outcome(503) == store::WriteOutcome::NotSent);
+    REQUIRE(outcome(500) == store::WriteOutcome::Unknown);
+}
--- a/tests/support/memory_store.h
+++ b/tests/support/memory_store.h
@@ -248,6 +248,16 @@
         m_mostEntries = most;
     }
 
+    /** Rejects writes of larger values. */
+    void setMostValueBytes(std::size_t most)
+    {
+        m_mostValueBytes = most;
+    }
+    [[nodiscard]] int rejections() const
+    {
+        return m_rejections;
+    }
+
     [[nodiscard]] int reads() const
     {
         return m_reads;
@@ -355,6 +365,15 @@
             result.reason = "too many entries";
             co_return result;
         }
+        const bool isTooLarge = std::any_of(writes.begin(), writes.end(), [this](const store::Write &write) {
+            return write.value.size() > m_mostValueBytes;
+        });
+        if (isTooLarge) {
+            ++m_rejections;
+            result.outcome = store::WriteOutcome::Rejected;
+            result.reason = "value too large";
+            co_return result;
+        }
         const absl::Status arrived = co_await arrive(deadline);
         result = m_data->transact(writes);
         if (!arrived.ok() || takeOne(m_lostAnswers)) {
@@ -427,6 +446,8 @@
     const std::shared_ptr<MemoryData> m_data;
     std::atomic<bool> m_isDown{false};
     std::atomic<std::size_t> m_mostEntries{1000};
+    std::size_t m_mostValueBytes = static_cast<std::size_t>(-1);
+    int m_rejections = 0;
     std::atomic<std::chrono::milliseconds> m_delay{std::chrono::milliseconds(0)};
     std::atomic<int> m_lostAnswers{0};
     std::atomic<int> m_lostRequests{0};
