batch: Keep room for others under the bounds on tasks

Change: on a host, 1,024 places are for tasks that need at least 1/1,024 of one of its resources; these can't be filled without using that resource up. Workspaces that want more share three quarters of all open tasks evenly, and the rest is for those with less. The tasks of all jobs are only counted when they could be more than may be open. A run that is no longer ordered isn't waited for to be barred.

clang asks for a typename in state_records.h, and the linter for a copy instead of a move of a Candidate.

--- a/src/batch/admission.cpp
+++ b/src/batch/admission.cpp
@@ -23,27 +23,26 @@
 constexpr double ClosingPart = 0.5;
 constexpr double OpeningPart = 0.8;
 
-/** The most that each may have so that all together have `total`, where those that use less keep what they use. */
-std::size_t fairLevel(const KeptBytes &kept, std::size_t total)
+} // namespace
+
+std::size_t fairLevel(const WorkspaceUse &uses, std::size_t total)
 {
-    std::vector<std::size_t> uses;
-    for (const auto &[workspace, bytes] : kept) {
-        uses.push_back(bytes);
+    std::vector<std::size_t> sorted;
+    for (const auto &[workspace, use] : uses) {
+        sorted.push_back(use);
     }
-    std::sort(uses.begin(), uses.end());
+    std::sort(sorted.begin(), sorted.end());
     std::size_t left = total;
-    for (std::size_t i = 0; i < uses.size(); ++i) {
-        const std::size_t share = left / (uses.size() - i);
-        if (uses[i] > share) {
+    for (std::size_t i = 0; i < sorted.size(); ++i) {
+        const std::size_t share = left / (sorted.size() - i);
+        if (sorted[i] > share) {
             return share;
         }
-        left -= uses[i];
+        left -= sorted[i];
     }
     return std::numeric_limits<std::size_t>::max();
 }
 
-} // namespace
-
 std::size_t estimatedBytes(const JobSpec &spec)
 {
     const std::size_t occurrences = std::max(spec.occurrences, 1U);
--- a/src/batch/admission.h
+++ b/src/batch/admission.h
@@ -17,8 +17,10 @@
 namespace plantainfork::batch
 {
 
+/** What each workspace uses of something: bytes, or tasks. */
+using WorkspaceUse = std::map<base::WorkspaceId, std::size_t>;
 /** Bytes by workspace. */
-using KeptBytes = std::map<base::WorkspaceId, std::size_t>;
+using KeptBytes = WorkspaceUse;
 
 /**
  * Memory of the leader for an accepted job until its records are removed, in bytes, without the states of its started tasks, which
@@ -26,6 +28,9 @@
  */
 [[nodiscard]] std::size_t estimatedBytes(const JobSpec &spec);
 
+/** The most that each may have so that all together have `total`, where those that use less keep what they use; the largest number if all fit. */
+[[nodiscard]] std::size_t fairLevel(const WorkspaceUse &uses, std::size_t total);
+
 class Admission
 {
 public:
--- a/src/batch/agent.h
+++ b/src/batch/agent.h
@@ -570,7 +570,7 @@
     asio::awaitable<void> confirmBar(const RunId &run, const HostIncarnation &incarnation)
     {
         const std::uint64_t sentBefore = m_holdsSent;
-        while (isCurrentIncarnation(incarnation)) {
+        while (isCurrentIncarnation(incarnation) && (isOrdered(run) || isStopOrdered(run))) {
             if (m_listing && m_listingSequence > sentBefore) {
                 if (isListed(run)) {
                     co_return;
--- a/src/batch/occupancy.cpp
+++ b/src/batch/occupancy.cpp
@@ -107,7 +107,7 @@
             host.hasStartingSuspect = host.hasStartingSuspect || unit.isCrashSuspect();
         }
         host.free -= placedUnit.need;
-        ++host.tasks;
+        countTask(host, placedUnit.need);
         if (job.stepOf(unit).maxTasksPerHost != 0) {
             ++host.tasksPerStep[{&job, unit.occurrence, unit.step}];
         }
@@ -200,10 +200,29 @@
     return 2 * free.accelerators >= capacity.accelerators && 2 * free.millicores >= capacity.millicores;
 }
 
+bool Occupancy::isSmall(const Resources &need, const HostState &state) const
+{
+    const auto isSmallPart = [this](std::int64_t part, std::int64_t whole) {
+        return part == 0 || part < whole / m_bounds.maxSmallTasksPerHost;
+    };
+    const Resources &capacity = state.host->report.capacity;
+    return isSmallPart(need.millicores, capacity.millicores) && isSmallPart(need.memoryMib, capacity.memoryMib)
+        && isSmallPart(need.accelerators, capacity.accelerators);
+}
+
+void Occupancy::countTask(HostState &state, const Resources &need) const
+{
+    ++state.tasks;
+    state.smallTasks += isSmall(need, state) ? 1 : 0;
+}
+
 unsigned Occupancy::remainingPerHost(const HostState &state, const Candidate &candidate) const
 {
     const Step &step = candidate.ref.step();
-    const unsigned remaining = state.tasks >= m_bounds.maxTasksPerHost ? 0 : m_bounds.maxTasksPerHost - state.tasks;
+    unsigned remaining = m_bounds.maxTasksPerHost - std::min(m_bounds.maxTasksPerHost, state.tasks);
+    if (isSmall(step.countedNeed(), state)) {
+        remaining = std::min(remaining, m_bounds.maxSmallTasksPerHost - std::min(m_bounds.maxSmallTasksPerHost, state.smallTasks));
+    }
     if (step.maxTasksPerHost == 0) {
         return remaining;
     }
@@ -251,7 +270,7 @@
 {
     HostState &state = m_hosts[host];
     state.free -= candidate.ref.step().countedNeed();
-    ++state.tasks;
+    countTask(state, candidate.ref.step().countedNeed());
     state.hasStartingTask = true;
     state.hasStartingSuspect = state.hasStartingSuspect || candidate.ref.unit->isCrashSuspect();
     if (candidate.ref.step().maxTasksPerHost != 0) {
--- a/src/batch/occupancy.h
+++ b/src/batch/occupancy.h
@@ -40,8 +40,9 @@
     std::vector<std::pair<Instant, Resources>> releases;
     /** Resources reserved for blocked units, each from the given time on. */
     std::vector<std::pair<Instant, Resources>> reservations;
-    /** Number of tasks on this host that have not ended. */
+    /** Number of tasks on this host that have not ended, and of the small ones among them; see PlannerBounds::maxSmallTasksPerHost. */
     unsigned tasks = 0;
+    unsigned smallTasks = 0;
     /** A task on this host is stalled, so only guaranteed jobs are started here. */
     bool isStalled = false;
     /** A task was ordered to start here, in this round or before, and has not been listed as running yet. */
@@ -106,7 +107,7 @@
     [[nodiscard]] const HostSet &hostsThatAreNotSlow(const HostSet &hosts);
     /** Whether at most half of the hosts' accelerators, and at most half of their cores, are in use. */
     [[nodiscard]] bool isMostlyFree(const HostSet &hosts) const;
-    /** How many more tasks of the candidate's step the host may get under Step::maxTasksPerHost and PlannerBounds::maxTasksPerHost. */
+    /** How many more tasks of the candidate's step the host may get under Step::maxTasksPerHost and the limits of PlannerBounds. */
     [[nodiscard]] unsigned remainingPerHost(const HostState &state, const Candidate &candidate) const;
     /** Subtracts from `free` all reservations that begin before `endsAt`: what a task that runs until then may use. */
     [[nodiscard]] static Resources availableUntil(const HostState &state, Resources free, Instant endsAt);
@@ -124,6 +125,10 @@
     /** What decides, apart from the host's state, whether a candidate may use it: service, required label, and whether it is guaranteed. */
     using HostSetKey = std::tuple<base::ServiceId, std::string, bool>;
 
+    /** Whether a task with this need is a small one on the host; see PlannerBounds::maxSmallTasksPerHost. */
+    [[nodiscard]] bool isSmall(const Resources &need, const HostState &state) const;
+    /** Counts a task that is on the host, or will be. */
+    void countTask(HostState &state, const Resources &need) const;
     void collectHosts(const std::set<base::DataCentreId> &evacuated);
     void collectPlacedUnits(const WaitingOrder &order, const Progress &progress, const PlannerBounds &bounds);
     void addPlacedUnit(const PlacedUnit &placedUnit, const Progress &progress);
--- a/src/batch/planner.cpp
+++ b/src/batch/planner.cpp
@@ -34,9 +34,7 @@
         , m_fitSearch(m_occupancy, bounds)
         , m_isSharing(workload.fairShare().isOn())
     {
-        for (const Job *job : workload.activeJobs()) {
-            m_openTasks += job->openTasks();
-        }
+        collectOpenTasks();
     }
 
     Plan run()
@@ -48,7 +46,7 @@
             const Candidate *next = &candidate;
             while (next != nullptr && planNext(*next)) {
                 auto following = m_order.nextOfStep(*next);
-                next = following ? &m_following.emplace_back(std::move(*following)) : nullptr;
+                next = following ? &m_following.emplace_back(*following) : nullptr;
             }
         }
         if (m_isSharing) {
@@ -60,6 +58,24 @@
     }
 
 private:
+    void collectOpenTasks()
+    {
+        std::size_t allTasks = 0;
+        for (const Job *job : m_workload.activeJobs()) {
+            allTasks += job->taskCount;
+        }
+        m_areOpenTasksBounded = allTasks > m_bounds.maxOpenTasks;
+        if (!m_areOpenTasksBounded) {
+            return;
+        }
+        for (const Job *job : m_workload.activeJobs()) {
+            const std::size_t open = job->openTasks();
+            m_openTasks += open;
+            m_workspaceOpenTasks[job->spec.workspace] += open;
+        }
+        m_openLevel = fairLevel(m_workspaceOpenTasks, static_cast<std::size_t>(static_cast<double>(m_bounds.maxOpenTasks) * m_bounds.sharedOpenPart));
+    }
+
     /** Plans the unit; returns whether it is placed, or others are stopped for it. */
     bool planNext(const Candidate &candidate)
     {
@@ -74,17 +90,34 @@
         noteShareOrder(candidate, isPlaced);
         const bool hasProgress = isPlaced || m_preemptions > preemptionsBefore;
         if (hasProgress) {
-            m_order.noteOpened(candidate);
-            m_openTasks += candidate.ref.unit->isFresh() ? WaitingOrder::tasksOf(candidate) : 0;
+            noteOpened(candidate);
         }
         return hasProgress;
     }
 
+    void noteOpened(const Candidate &candidate)
+    {
+        m_order.noteOpened(candidate);
+        if (m_areOpenTasksBounded && candidate.ref.unit->isFresh()) {
+            m_openTasks += WaitingOrder::tasksOf(candidate);
+            m_workspaceOpenTasks[candidate.ref.job->spec.workspace] += WaitingOrder::tasksOf(candidate);
+        }
+    }
+
     /** Whether the state that the unit has once it is started keeps within the bounds on its job and on all jobs. */
     [[nodiscard]] bool mayOpen(const Candidate &candidate)
     {
-        const bool isOpen = !candidate.ref.unit->isFresh();
-        return isOpen || (m_openTasks + WaitingOrder::tasksOf(candidate) <= m_bounds.maxOpenTasks && m_order.mayOpen(candidate));
+        if (!candidate.ref.unit->isFresh()) {
+            return true;
+        }
+        if (m_areOpenTasksBounded) {
+            const std::size_t tasks = WaitingOrder::tasksOf(candidate);
+            const bool hasRoom = m_openTasks + tasks <= m_bounds.maxOpenTasks;
+            if (!hasRoom || m_workspaceOpenTasks[candidate.ref.job->spec.workspace] + tasks > m_openLevel) {
+                return false;
+            }
+        }
+        return m_order.mayOpen(candidate);
     }
 
     /** Places the unit; failing that, preempts others for it, or reserves resources. */
@@ -438,7 +471,7 @@
     Instant m_now;
     Progress m_progress;
     WaitingOrder m_order;
-    const Workload &m_workload;
+    Workload &m_workload;
     Occupancy m_occupancy;
     FitSearch m_fitSearch;
     bool m_isSharing;
@@ -447,8 +480,13 @@
     std::vector<Misfit> m_misfits;
     /** Candidates of equal units that were added in this round; ShareGroup points to them. */
     std::deque<Candidate> m_following;
-    /** Job::openTasks() of all jobs, with the units that start in this round. */
+    /** All tasks of all jobs are more than may be open. */
+    bool m_areOpenTasksBounded = false;
+    /** Job::openTasks() of all jobs if they are bounded, with the units that start in this round. */
     std::size_t m_openTasks = 0;
+    WorkspaceUse m_workspaceOpenTasks;
+    /** A workspace with as many open tasks opens no further one. */
+    std::size_t m_openLevel = 0;
     std::size_t m_preemptions = 0;
     Plan m_plan;
 };
--- a/src/batch/planner_bounds.h
+++ b/src/batch/planner_bounds.h
@@ -23,8 +23,15 @@
     std::size_t maxOpenTasks = std::numeric_limits<std::size_t>::max();
     /** Units placed in one round. The rest follows in the next ones, so that neither a round nor what it logs and records grows with the backlog. */
     std::size_t maxPlacements = 4096;
+    /** Part of that up to which workspaces share evenly if they want more; the rest is for those with less than their share. */
+    double sharedOpenPart = 0.75;
     /** Maximum number of tasks on one host, which bounds its agent's memory and the size of its messages. */
     unsigned maxTasksPerHost = 2048;
+    /**
+     * The same for tasks that need less than one part in `maxSmallTasksPerHost` of each of the host's resources. So tasks that need next to
+     * nothing can't keep others from a host whose resources are free.
+     */
+    unsigned maxSmallTasksPerHost = 1024;
 };
 
 } // namespace plantainfork::batch
--- a/src/batch/scheduler.h
+++ b/src/batch/scheduler.h
@@ -169,7 +169,7 @@
     static constexpr std::chrono::milliseconds GrantMargin{500};
 
     /** Bytes of a leader's whole memory for each open task: about 1,100 for its state, its orders and its part of messages, and the rest for all else. */
-    static constexpr std::size_t MemoryPerOpenTask = 1700;
+    static constexpr std::size_t MemoryPerOpenTask = 1300;
 
     [[nodiscard]] static PlannerBounds plannerBounds(const Settings &settings)
     {
--- a/src/batch/state_records.h
+++ b/src/batch/state_records.h
@@ -163,10 +163,12 @@
     }
 
 private:
+    using Position = typename Records::const_iterator;
+
     static constexpr std::size_t MaxJobsPerCleanup = 8;
 
     /** The records from `first` on that go into one transaction: at least one, and no more than the store and the line take. */
-    static Records::const_iterator endOfTransaction(Records::const_iterator first, Records::const_iterator end)
+    static Position endOfTransaction(Position first, Position end)
     {
         std::size_t count = 1;
         std::size_t bytes = first->value.size();
--- a/src/batch/workload.cpp
+++ b/src/batch/workload.cpp
@@ -103,7 +103,9 @@
     job.firstDueAt = job.spec.occurrences > 0 ? now + (job.dueAt(0) - wallNow) : job.acceptedAt;
     for (std::uint32_t occurrence = 0; occurrence < occurrences && !job.isSparse(); ++occurrence) {
         for (std::uint32_t step = 0; step < job.spec.steps.size(); ++step) {
-            while (job.addNextUnit(occurrence, step) != nullptr) { }
+            while (job.addNextUnit(occurrence, step) != nullptr) {
+                // The step has further units.
+            }
         }
     }
     if (!state) {
