--- a/tests/batch/planner_test.cpp
+++ b/tests/batch/planner_test.cpp
@@ -288,3 +288,21 @@
     waitFor(1);
     REQUIRE(fixture.runRound().placements.size() == 1);
 }
+
+TEST_CASE("Units that free nothing of what an urgent unit lacks aren't preempted for it")
+{
+    // Hundreds of small tasks without accelerators, the cheapest to stop, were stopped for a task that lacked accelerators.
+    WorkloadFixture fixture;
+    fixture.addHost("a", "r1-1");
+    auto &small = fixture.addJob("small", "patient", "rif", {WorkloadFixture::step(20, 0, 1s)});
+    auto &large = fixture.addJob("large", "patient", "rif", {WorkloadFixture::step(8, 1, 20s)});
+    fixture.runRound();
+    REQUIRE(small.unitsWithMembers == 20);
+    REQUIRE(large.unitsWithMembers == 8);
+    fixture.addJob("urgent", "urgent", "atlas", {WorkloadFixture::step(1, 2, 10s)});
+    const auto plan = fixture.runRound();
+    REQUIRE(plan.stops.size() == 2);
+    for (const auto &stop : plan.stops) {
+        REQUIRE(stop.unit.job == &large);
+    }
+}
