review: Show a job kept waiting beside tasks of an hour

Claim (LOST): a task counts as stalled when its percentage stands still for 2.2 s, as that of each task of more than some 220 s does, and its executor is closed to other work meanwhile.

Shown by review/13/run.sh: four executors with a task of an hour on each, then a small job.

--- /dev/null
+++ b/review/13/run.sh
@@ -0,0 +1,5 @@
+#!/usr/bin/env bash
+# Runs after the build of the deploy file and review/build-3.sh. 1: the rule was broken; 0: it held; 2: the case could not run.
+set -u
+cd "$(dirname "$0")/../.."
+exec target/review-3/world beside-long-tasks review/13/record.txt
