review: Show a gang that is never spread beside work that lasts

Claim (LOST): a gang that fits one rack when that is empty waits for a rack for good unless half of the room that it may use is free, though it has room for twice its tasks on several racks. It takes the place of the case of tasks of an hour, which review/6 shows already; that one stays in the stand-in.

Shown by review/13/run.sh: eleven executors, one of which is taken away.

--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -2,4 +2,4 @@
 # Runs after the build of the deploy file and review/build-3.sh. 1: the rule was broken; 0: it held; 2: the case could not run.
 set -u
 cd "$(dirname "$0")/../.."
-exec target/review-3/world beside-long-tasks review/13/record.txt
+exec target/review-3/world gang-beside-lasting review/13/record.txt
--- a/review/standins-3/world.cpp
+++ b/review/standins-3/world.cpp
@@ -694,14 +694,14 @@
 /** The first five are the cases of the folders 11 to 15; the others show more of the same, or what is no case. */
 const std::vector<Entry> Cases{{"crash-on-data-rack", crashOnDataRack, &RackOfOne},
                                {"reserved-behind-lasting", reservedBehindLasting, &FourHosts},
-                               {"beside-long-tasks", besideLongTasks, &FourHosts},
+                               {"gang-beside-lasting", gangBesideLasting, &ThreeRacks},
                                {"pending-count", pendingCount, &RackOfOne},
                                {"stale-start-evacuated", staleStartEvacuated, &RackOfOne},
                                {"failure-on-data-rack", failureOnDataRack, &RackOfOne},
                                {"lasting-on-data-rack", lastingOnDataRack, &TwoKinds},
                                {"long-task", longTask, &FourHosts},
                                {"stale-start-draining", staleStartDraining, &RackOfOne},
-                               {"gang-beside-lasting", gangBesideLasting, &ThreeRacks}};
+                               {"beside-long-tasks", besideLongTasks, &FourHosts}};
 
 std::string describe(const std::exception_ptr &failure)
 {
