batch: Decline a place only for one that the unit gets

Cause: FitSearch makes a place on another rack the best one, as it avoids the host; PlanningRound::shouldWaitForDataRack() then declined it, as the data's rack had room, by resources alone. Neither place was taken, and nothing ended that. After the decline the round went on as if the unit had found no room: it reserved the declined place, and withheld it from all others for an urgent unit.

Change: betterPlaceNearData() names a place that the unit would get in the rack, by the limits per host, the rule for suspects of crashes and the costs by which its fit was chosen, with the time until it is free as a cost. That place is reserved. The wait is counted from the first decline and ends after what the slower run elsewhere would cost, or after 2 s for a task that lasts.

Ruled out: that the unit was no candidate (it counted as blocked in each round). Ending the wait alone isn't enough: the second of two tasks that last would wait for twice its estimate for a host that the first one keeps.

--- a/bench/decisions/playback.cpp
+++ b/bench/decisions/playback.cpp
@@ -236,6 +236,7 @@
             m_workload.place(placement.unit, placement.hosts, m_now);
         }
         m_workload.noteService(plan.serviceUse, plan.passedOver, m_now);
+        m_workload.noteWaitingNearData(plan.waitingNearData, m_now);
         auto orders = collectOrders();
         m_outcome.roundMicroseconds.push_back(microsecondsSince(begin));
         ++m_outcome.rounds;
--- a/src/batch/fit_search.cpp
+++ b/src/batch/fit_search.cpp
@@ -165,6 +165,16 @@
     return trial;
 }
 
+std::optional<double> FitSearch::costOnceFree(const HostState &state, const Candidate &candidate) const
+{
+    if (mustStartApart(state, candidate)) {
+        return std::nullopt;
+    }
+    Resources left = state.free;
+    left -= candidate.ref.step().countedNeed();
+    return hostCost(state, candidate, left) + speedCost(state, candidate, Fit().slowFactor) + expectedLoss(state, candidate);
+}
+
 std::optional<Fit> FitSearch::tryFit(const Candidate &candidate, const std::vector<std::size_t> &hosts, CapacitySource source) const
 {
     const Step &step = candidate.ref.step();
--- a/src/batch/fit_search.h
+++ b/src/batch/fit_search.h
@@ -46,6 +46,11 @@
 
     /** The cheapest placement of the unit on these hosts; with `singleRack`, on hosts of a single rack. */
     [[nodiscard]] std::optional<Fit> bestFit(const Candidate &candidate, const HostSet &hosts, CapacitySource source, bool singleRack) const;
+    /**
+     * Cost of one task of the unit on the host if its resources were free, comparable with Fit::cost of fits that need no preemption. Empty if
+     * other rules than that for resources keep the unit from the host at present.
+     */
+    [[nodiscard]] std::optional<double> costOnceFree(const HostState &state, const Candidate &candidate) const;
     /** Whether the unit asks for a single rack and would fit into one of these hosts' racks if that rack were empty. */
     [[nodiscard]] bool requiresSingleRack(const Candidate &candidate, const HostSet &hosts) const;
 
--- a/src/batch/job.cpp
+++ b/src/batch/job.cpp
@@ -109,6 +109,10 @@
     unit.index = range.next++;
     unit.waitingSince = waitingSince(occurrence, step);
     const std::size_t number = occurrence * unitsPerOccurrence + stepOffsets[step] + unit.index;
+    // The units of a step begin to wait together, so the ones that get their state later haven't longer to wait.
+    if (const Unit *last = unit.index > 0 ? units.find(number - 1) : nullptr) {
+        unit.placeDeclinedAt = last->placeDeclinedAt;
+    }
     return &units.add(number, std::move(unit));
 }
 
--- a/src/batch/occupancy.cpp
+++ b/src/batch/occupancy.cpp
@@ -266,6 +266,31 @@
     return starts;
 }
 
+std::optional<Instant> Occupancy::earliestEndOfStep(const HostState &state, const Candidate &candidate) const
+{
+    std::optional<Instant> earliest;
+    for (const auto &[placedIndex, members] : state.placedUnits) {
+        const PlacedUnit &placedUnit = m_placedUnits[placedIndex];
+        const Unit &unit = *placedUnit.ref.unit;
+        const bool isOfStep =
+            placedUnit.ref.job == candidate.ref.job && unit.occurrence == candidate.ref.unit->occurrence && unit.step == candidate.ref.unit->step;
+        if (isOfStep) {
+            earliest = earliest ? std::min(*earliest, placedUnit.endsAt) : placedUnit.endsAt;
+        }
+    }
+    return earliest;
+}
+
+std::optional<Instant> Occupancy::earliestStart(const HostState &state, const Candidate &candidate) const
+{
+    const auto starts = earliestStarts(state, candidate.ref.step().countedNeed(), 1);
+    if (starts.empty() || remainingPerHost(state, candidate) > 0) {
+        return starts.empty() ? std::nullopt : std::optional(starts.front());
+    }
+    const auto end = earliestEndOfStep(state, candidate);
+    return end ? std::optional(std::max(starts.front(), *end)) : std::nullopt;
+}
+
 void Occupancy::allocate(std::size_t host, const Candidate &candidate)
 {
     HostState &state = m_hosts[host];
--- a/src/batch/occupancy.h
+++ b/src/batch/occupancy.h
@@ -114,6 +114,12 @@
     /** When the host will have enough free resources for one task, for two and so on, up to `tasks`, if nothing else starts there. */
     [[nodiscard]] std::vector<Instant> earliestStarts(const HostState &state, const Resources &need, unsigned tasks) const;
 
+    /**
+     * When the host will have enough free resources for one task of the candidate, and fewer of its step's tasks than are allowed there, if
+     * nothing else starts on it; empty if it never will.
+     */
+    [[nodiscard]] std::optional<Instant> earliestStart(const HostState &state, const Candidate &candidate) const;
+
     /** Allocates the resources of one task that is placed in this round. */
     void allocate(std::size_t host, const Candidate &candidate);
     /** Withholds resources for one task that will start once its preemption victims have stopped. */
@@ -127,6 +133,8 @@
 
     /** Whether a task with this need is a small one on the host; see PlannerBounds::maxSmallTasksPerHost. */
     [[nodiscard]] bool isSmall(const Resources &need, const HostState &state) const;
+    /** When the first task of the candidate's step that runs on the host is expected to end; empty if none is. */
+    [[nodiscard]] std::optional<Instant> earliestEndOfStep(const HostState &state, const Candidate &candidate) const;
     /** Counts a task that is on the host, or will be. */
     void countTask(HostState &state, const Resources &need) const;
     void collectHosts(const std::set<base::DataCentreId> &evacuated);
--- a/src/batch/planner.cpp
+++ b/src/batch/planner.cpp
@@ -17,6 +17,8 @@
 
 /** Time reserved before a draining host leaves for the stop order to reach it and for the end of the run to be reported. */
 constexpr std::chrono::milliseconds DrainStopMargin{500};
+/** Longest wait of a task that lasts for a place in the rack that it prefers. */
+constexpr std::chrono::seconds MaxRackWaitOfLasting{2};
 /** Tasks that fitted nowhere and are remembered within a round: each is compared with every later candidate. */
 constexpr std::size_t MaxMisfits = 64;
 
@@ -129,13 +131,15 @@
             return;
         }
         const bool singleRack = m_fitSearch.requiresSingleRack(candidate, hosts);
+        std::optional<ExpectedPlace> nearData;
         if (!isKnownNotToFit(candidate)) {
             if (auto fit = m_fitSearch.bestFit(candidate, hosts, CapacitySource::Free, singleRack)) {
                 if (avoidsSlowHosts(candidate, hosts, *fit, singleRack)) {
                     ++m_plan.blocked;
                     return;
                 }
-                if (!shouldWaitForDataRack(candidate, hosts, *fit)) {
+                nearData = betterPlaceNearData(candidate, hosts, *fit);
+                if (!nearData) {
                     addPlacement(candidate, *fit);
                     return;
                 }
@@ -145,7 +149,9 @@
         }
         ++m_plan.blocked;
         if (mayPreempt(candidate)) {
-            if (auto fit = m_fitSearch.bestFit(candidate, hosts, CapacitySource::Preemptible, singleRack); fit && isPreemptionWorthwhile(candidate, *fit)) {
+            // After a place away from the data is declined, a fit that needs no wait is that place again.
+            if (auto fit = m_fitSearch.bestFit(candidate, hosts, CapacitySource::Preemptible, singleRack);
+                fit && isPreemptionWorthwhile(candidate, *fit) && (!nearData || fit->requiresWait)) {
                 preemptFor(candidate, *fit);
                 return;
             }
@@ -162,6 +168,10 @@
                 return;
             }
         }
+        if (nearData) {
+            waitNearData(candidate, *nearData);
+            return;
+        }
         reserve(candidate, hosts, singleRack);
     }
 
@@ -251,13 +261,23 @@
         return scaled(candidate.runTime, m_bounds.remoteFactor - 1.0);
     }
 
+    /**
+     * Longest wait for a place in the rack of the unit's data, or for a gang in a single rack: the time that the place elsewhere costs. A task
+     * that lasts does nothing for its users while it waits, and has no end that a wait could bring forward.
+     */
+    [[nodiscard]] Duration maxRackWait(const Candidate &candidate) const
+    {
+        const Duration loss = remoteLoss(candidate);
+        return candidate.ref.step().isLongRunning ? std::min<Duration>(loss, MaxRackWaitOfLasting) : loss;
+    }
+
     /**
      * Whether the unit has waited for longer than a run on several racks would have cost. Expected starts can't decide this: smaller units may
      * take the room on every rack first, over and over again.
      */
     [[nodiscard]] bool hasWaitedTooLong(const Candidate &candidate) const
     {
-        return m_now - candidate.ref.unit->waitingSince >= remoteLoss(candidate);
+        return m_now - candidate.ref.unit->waitingSince >= maxRackWait(candidate);
     }
 
     /** Whether an earlier candidate of this round that needs no more on any host fitted nowhere. Free resources only shrink within a round. */
@@ -288,22 +308,47 @@
         return candidate.isGuaranteed || fit.cost <= toSeconds(candidate.runTime) * coreEquivalents(step.need) * members;
     }
 
-    /** Whether a task that could only start outside its data's rack does better to wait: that rack frees up sooner than the slowdown costs. */
-    [[nodiscard]] bool shouldWaitForDataRack(const Candidate &candidate, const HostSet &hosts, const Fit &fit) const
+    /** A place that a unit gets later, if nothing else takes it. */
+    struct ExpectedPlace {
+        std::size_t host = 0;
+        Instant from;
+    };
+
+    /**
+     * The place in the rack of the task's data that the task does better to wait for than to start now at `fit`, which is away from it; empty if
+     * there is none. The place is one that the task would get by the rules by which `fit` was chosen, and the task waits no longer than for
+     * maxRackWait() in all.
+     */
+    [[nodiscard]] std::optional<ExpectedPlace> betterPlaceNearData(const Candidate &candidate, const HostSet &hosts, const Fit &fit) const
     {
         const Step &step = candidate.ref.step();
         if (step.dataRack.empty() || candidate.isGuaranteed || step.isGang || m_occupancy.hosts()[fit.hosts.front()].host->rack == step.dataRack) {
-            return false;
+            return std::nullopt;
         }
-        const Duration loss = remoteLoss(candidate);
-        return std::any_of(hosts.all.begin(), hosts.all.end(), [&](std::size_t index) {
+        const Instant declinedAt = candidate.ref.unit->placeDeclinedAt;
+        const Instant latest = (declinedAt == Instant() ? m_now : declinedAt) + maxRackWait(candidate);
+        std::optional<ExpectedPlace> best;
+        double bestCost = fit.cost;
+        for (const auto index : hosts.all) {
             const HostState &state = m_occupancy.hosts()[index];
-            if (state.host->rack != step.dataRack) {
-                return false;
+            const auto from = state.host->rack == step.dataRack ? m_occupancy.earliestStart(state, candidate) : std::nullopt;
+            const auto cost = from && *from <= latest ? m_fitSearch.costOnceFree(state, candidate) : std::nullopt;
+            if (cost && toSeconds(*from - m_now) + *cost < bestCost) {
+                bestCost = toSeconds(*from - m_now) + *cost;
+                best = ExpectedPlace{index, *from};
             }
-            const auto starts = m_occupancy.earliestStarts(state, step.countedNeed(), 1);
-            return !starts.empty() && starts.front() <= m_now + loss;
-        });
+        }
+        return best;
+    }
+
+    /** Lets the unit wait for a place in the rack of its data, which is reserved for it. */
+    void waitNearData(const Candidate &candidate, const ExpectedPlace &place)
+    {
+        m_plan.waitingNearData.push_back(candidate.ref);
+        if (mayReserve(candidate)) {
+            ++m_reservations;
+            m_occupancy.reserve(place.host, place.from, candidate.ref.step().countedNeed());
+        }
     }
 
     void addPlacement(const Candidate &candidate, const Fit &fit)
@@ -329,10 +374,15 @@
         }
     }
 
+    [[nodiscard]] bool mayReserve(const Candidate &candidate) const
+    {
+        return m_reservations < m_bounds.maxReservations && candidate.latenessLevel != 2;
+    }
+
     /** Reserves resources for a blocked unit on the hosts where it can start earliest. */
     void reserve(const Candidate &candidate, const HostSet &hosts, bool singleRack)
     {
-        if (m_reservations >= m_bounds.maxReservations || candidate.latenessLevel == 2) {
+        if (!mayReserve(candidate)) {
             return;
         }
         const Step &step = candidate.ref.step();
--- a/src/batch/planner.h
+++ b/src/batch/planner.h
@@ -46,6 +46,8 @@
     ServiceUse serviceUse;
     /** Units that stay blocked and that a unit of a workspace with a smaller share of service went ahead of; without those known already. */
     std::vector<UnitRef> passedOver;
+    /** Units that could start away from their data, and wait for a place in its rack instead. */
+    std::vector<UnitRef> waitingNearData;
 };
 
 class Planner
--- a/src/batch/scheduler.h
+++ b/src/batch/scheduler.h
@@ -542,6 +542,7 @@
         }
         recordSpeeds(term, plan);
         term.workload.noteService(plan.serviceUse, plan.passedOver, begin);
+        term.workload.noteWaitingNearData(plan.waitingNearData, begin);
         m_placements.add(plan.placements.size());
         m_stops.add(plan.stops.size());
         m_blockedUnits.set(static_cast<std::int64_t>(plan.blocked));
--- a/src/batch/workload.cpp
+++ b/src/batch/workload.cpp
@@ -380,6 +380,16 @@
     }
 }
 
+void Workload::noteWaitingNearData(const std::vector<UnitRef> &units, Instant now)
+{
+    for (const auto &ref : units) {
+        if (ref.unit->placeDeclinedAt == Instant()) {
+            ref.unit->placeDeclinedAt = now;
+            log("unit waits near its data", {{"job", ref.job->spec.id.value()}, {"unit", ref.job->taskOf(*ref.unit, 0).text()}, {"rack", ref.step().dataRack}});
+        }
+    }
+}
+
 void Workload::stop(UnitRef ref, StopReason reason)
 {
     Unit &unit = *ref.unit;
@@ -532,6 +542,7 @@
     clearMembers(job, unit);
     unit.stopReason = StopReason::None;
     unit.waitingSince = now;
+    unit.placeDeclinedAt = Instant();
     job.setPhase(unit, UnitPhase::Waiting);
     if (!job.stepOf(unit).hasCheckpoints) {
         unit.savedPercent = 0;
@@ -620,6 +631,7 @@
             clearMembers(job, unit);
             unit.stopReason = StopReason::None;
             unit.waitingSince = now;
+            unit.placeDeclinedAt = Instant();
             job.setPhase(unit, UnitPhase::Waiting);
         }
     }
--- a/src/batch/workload.h
+++ b/src/batch/workload.h
@@ -103,6 +103,8 @@
     std::set<Attempt> failures;
     /** Since when the unit could have been running: its job's acceptance, the end of the steps it depends on, or the end of its last attempt. */
     Instant waitingSince;
+    /** When a place away from its data's rack was first declined for it since it began to wait; Instant() if none was. */
+    Instant placeDeclinedAt;
     std::string checkpoint;
     /** Known progress at the checkpoint, in percent. It is not recorded, so it is 0 after a change of leader. */
     std::uint32_t savedPercent = 0;
@@ -375,6 +377,8 @@
     void stop(UnitRef ref, StopReason reason);
     /** Records the service that workspaces use beyond their guarantees, and the waiting units that others went ahead of because of it. */
     void noteService(const ServiceUse &use, const std::vector<UnitRef> &passedOver, Instant now);
+    /** Notes since when these units wait for a place in their data's rack although they could start elsewhere. */
+    void noteWaitingNearData(const std::vector<UnitRef> &units, Instant now);
     [[nodiscard]] const FairShare &fairShare() const
     {
         return m_fairShare;
--- a/tests/batch/planner_test.cpp
+++ b/tests/batch/planner_test.cpp
@@ -236,6 +236,83 @@
     REQUIRE(fixture.runRound().placements.size() == 1);
 }
 
+TEST_CASE("A task that has failed on its data's rack, or whose executor has crashed there, starts again at once")
+{
+    // The best place was one on another rack, and was declined as the data's rack had room, which the task avoids: it never ran again.
+    const bool isCrash = GENERATE(false, true);
+    const auto *const queue = GENERATE("long", "urgent");
+    WorkloadFixture fixture;
+    fixture.addHost("near", "r1-1");
+    fixture.addHost("far", "r1-2");
+    auto near = WorkloadFixture::step(1, 1, 4s);
+    near.dataRack = "r1-1";
+    fixture.addJob("job", queue, "rif", {near});
+    REQUIRE(fixture.runRound().placements.at(0).hosts.front().value() == "near");
+    fixture.reportOrdersRunning("near", 10);
+    if (isCrash) {
+        fixture.call("near").crashed = {{WorkloadFixture::run("job", 0, 0, 1), 5s, batch::RunBegin::Certain}};
+        fixture.call("near").hasSeenEnd = true;
+        fixture.call("near").running.clear();
+        fixture.call("near").report.incarnation = {"i-near-2", 2};
+        fixture.sendReport("near");
+    } else {
+        fixture.reportEnd("near", WorkloadFixture::run("job", 0, 0, 1), batch::EndKind::Failed);
+    }
+    REQUIRE(fixture.runRound().placements.size() == 1);
+}
+
+TEST_CASE("A task doesn't wait for its data's rack beyond the limit of its step's tasks on a host there")
+{
+    // The second of two tasks that last waited for a host that the first one keeps.
+    WorkloadFixture fixture;
+    fixture.addHost("near", "r1-1");
+    fixture.addHost("far", "r1-2");
+    auto lasting = WorkloadFixture::step(2, 1, 10s);
+    lasting.dataRack = "r1-1";
+    lasting.isLongRunning = true;
+    lasting.maxTasksPerHost = 1;
+    fixture.addJob("lasting", "long", "rif", {lasting});
+    REQUIRE(fixture.runRound().placements.size() == 2);
+}
+
+TEST_CASE("The wait for the data's rack ends although the tasks there seem to end soon all the while")
+{
+    WorkloadFixture fixture;
+    fixture.addHost("near", "r1-1");
+    fixture.addHost("far", "r1-2");
+    auto &base = fixture.addJob("base", "long", "rif", {WorkloadFixture::step(1, 8, 3s)});
+    fixture.workload.place({&base, &base.units.at(0)}, {batch::HostId("near")}, fixture.now);
+    auto near = WorkloadFixture::step(1, 1, 4s);
+    near.dataRack = "r1-1";
+    fixture.addJob("waits", "long", "rif", {near});
+    std::uint32_t second = 0;
+    // Progress of a percent in 2 s is too little to tell the speed by.
+    while (fixture.runRound().placements.empty()) {
+        REQUIRE(second < 8);
+        fixture.advanceClock(1s);
+        fixture.reportOrdersRunning("near", ++second / 2);
+    }
+    REQUIRE(second >= 4);
+}
+
+TEST_CASE("An urgent task that waits for its data's rack keeps no room elsewhere from others")
+{
+    // The place that it had declined was withheld from all others in each round, as if others were stopped for it.
+    WorkloadFixture fixture;
+    fixture.addHost("near", "r1-1");
+    fixture.addHost("far", "r1-2");
+    auto &base = fixture.addJob("base", "urgent", "rif", {WorkloadFixture::step(1, 8, 3s)});
+    fixture.workload.place({&base, &base.units.at(0)}, {batch::HostId("near")}, fixture.now);
+    fixture.reportOrdersRunning("near", 0);
+    auto near = WorkloadFixture::step(1, 8, 4s);
+    near.dataRack = "r1-1";
+    fixture.addJob("waits", "urgent", "rif", {near});
+    fixture.addJob("other", "patient", "rif", {WorkloadFixture::step(1, 8, 20s)});
+    const auto plan = fixture.runRound();
+    REQUIRE(plan.placements.size() == 1);
+    REQUIRE(plan.placements[0].unit.job->spec.id.value() == "other");
+}
+
 TEST_CASE("A task that fits nowhere doesn't keep smaller ones, or ones that may use other hosts, from starting")
 {
     // Equal tasks that don't fit are tried once a round; the rule must not reach further than that.
--- a/tests/batch/workload_fixture.h
+++ b/tests/batch/workload_fixture.h
@@ -140,6 +140,7 @@
             workload.place(placement.unit, placement.hosts, now);
         }
         workload.noteService(plan.serviceUse, plan.passedOver, now);
+        workload.noteWaitingNearData(plan.waitingNearData, now);
         return plan;
     }
 
