batch: Give tasks that last no expected end

Cause: the remaining time of a run is extrapolated from its progress, and the progress of a task that lasts is that of its startup. At 100 percent it was taken to end within 0.1 s, in each round, so all of its host was reserved for the blocked job from then on. The same figure was read for the wait for the data's rack, for whether a run is about to end, and for whether it ends before its draining host leaves.

Change: Progress::expectedEnd() is Never for a task that lasts. Never is compared with times, never added to.

Ruled out: that the order is strict (later jobs do pass a job that waits beside ordinary tasks).

--- a/src/batch/occupancy.cpp
+++ b/src/batch/occupancy.cpp
@@ -65,7 +65,7 @@
             placedUnit.endsAt = m_now;
             bool isEnding = true;
             for (const auto &member : unit.members) {
-                placedUnit.endsAt = std::max(placedUnit.endsAt, m_now + progress.remaining(*job, unit, member));
+                placedUnit.endsAt = std::max(placedUnit.endsAt, progress.expectedEnd(*job, unit, member));
                 isEnding = isEnding && progress.isEndingSoon(*job, unit, member);
             }
             if (placedUnit.isReleasing) {
@@ -79,6 +79,9 @@
     }
     for (auto &state : m_hosts) {
         for (const auto &[placedIndex, members] : state.placedUnits) {
+            if (m_placedUnits[placedIndex].endsAt == Never) {
+                continue;
+            }
             Resources resources;
             for (unsigned i = 0; i < members; ++i) {
                 resources += m_placedUnits[placedIndex].need;
@@ -274,7 +277,7 @@
         const Unit &unit = *placedUnit.ref.unit;
         const bool isOfStep =
             placedUnit.ref.job == candidate.ref.job && unit.occurrence == candidate.ref.unit->occurrence && unit.step == candidate.ref.unit->step;
-        if (isOfStep) {
+        if (isOfStep && placedUnit.endsAt != Never) {
             earliest = earliest ? std::min(*earliest, placedUnit.endsAt) : placedUnit.endsAt;
         }
     }
--- a/src/batch/occupancy.h
+++ b/src/batch/occupancy.h
@@ -22,6 +22,7 @@
     UnitRef ref;
     /** Resources of one of its members that count against a host's capacity. */
     Resources need;
+    /** Never if it lasts and isn't being stopped. */
     Instant endsAt;
     /** Work lost if the whole unit is stopped now, in core-equivalent seconds. */
     double lostWork = 0;
@@ -36,7 +37,7 @@
     Resources free;
     /** Index of each placed unit on this host, and the number of its members here. */
     std::vector<std::pair<std::size_t, unsigned>> placedUnits;
-    /** When each placed unit is expected to end, with the resources that its members hold here; sorted by time. */
+    /** When each placed unit that is expected to end does so, with the resources that its members hold here; sorted by time. */
     std::vector<std::pair<Instant, Resources>> releases;
     /** Resources reserved for blocked units, each from the given time on. */
     std::vector<std::pair<Instant, Resources>> reservations;
@@ -111,7 +112,10 @@
     [[nodiscard]] unsigned remainingPerHost(const HostState &state, const Candidate &candidate) const;
     /** Subtracts from `free` all reservations that begin before `endsAt`: what a task that runs until then may use. */
     [[nodiscard]] static Resources availableUntil(const HostState &state, Resources free, Instant endsAt);
-    /** When the host will have enough free resources for one task, for two and so on, up to `tasks`, if nothing else starts there. */
+    /**
+     * When the host will have enough free resources for one task, for two and so on, up to `tasks`, if nothing else starts there. Fewer times than
+     * tasks if there never will be enough for all.
+     */
     [[nodiscard]] std::vector<Instant> earliestStarts(const HostState &state, const Resources &need, unsigned tasks) const;
 
     /**
--- a/src/batch/planner.cpp
+++ b/src/batch/planner.cpp
@@ -379,7 +379,10 @@
         return m_reservations < m_bounds.maxReservations && candidate.latenessLevel != 2;
     }
 
-    /** Reserves resources for a blocked unit on the hosts where it can start earliest. */
+    /**
+     * Reserves resources for a blocked unit on the hosts where it can start earliest. Where it can't start before tasks are stopped that last,
+     * nothing is reserved: that would keep others from resources that the unit doesn't get either.
+     */
     void reserve(const Candidate &candidate, const HostSet &hosts, bool singleRack)
     {
         if (!mayReserve(candidate)) {
--- a/src/batch/progress.cpp
+++ b/src/batch/progress.cpp
@@ -42,6 +42,11 @@
 {
 }
 
+Instant Progress::expectedEnd(const Job &job, const Unit &unit, const Member &member) const
+{
+    return job.stepOf(unit).isLongRunning ? Never : m_now + remaining(job, unit, member);
+}
+
 Duration Progress::remaining(const Job &job, const Unit &unit, const Member &member) const
 {
     const Duration estimate = job.stepOf(unit).estimate;
@@ -62,7 +67,7 @@
 {
     const bool hasProgress = member.phase == MemberPhase::Running && member.percent >= member.firstPercent + MinProgressForSpeed;
     const bool isMoving = m_now - member.progressedAt <= MaxProgressAge;
-    return hasProgress && isMoving && remaining(job, unit, member) <= m_bounds.killGrace;
+    return hasProgress && isMoving && expectedEnd(job, unit, member) <= m_now + m_bounds.killGrace;
 }
 
 double Progress::workLostByStop(const Job &job, const Unit &unit) const
--- a/tests/batch/planner_test.cpp
+++ b/tests/batch/planner_test.cpp
@@ -334,6 +334,108 @@
     REQUIRE(fixture.runRound().placements.size() == 2);
 }
 
+namespace
+{
+
+/** A step of tasks that last, one on a host. */
+batch::Step lastingStep(std::uint32_t tasks, std::int64_t accelerators)
+{
+    batch::Step step = WorkloadFixture::step(tasks, accelerators, 10s);
+    step.isLongRunning = true;
+    step.maxTasksPerHost = 1;
+    return step;
+}
+
+} // namespace
+
+TEST_CASE("A job that can't start before tasks that last are stopped keeps no other job waiting")
+{
+    // A task that lasts and has come to 100 percent was taken to end at once, so all of its host was reserved for good.
+    const bool isGang = GENERATE(false, true);
+    const bool isLaterLasting = GENERATE(false, true);
+    WorkloadFixture fixture;
+    fixture.addHost("a", "r1-1");
+    fixture.addHost("b", "r1-1");
+    fixture.addJob("lasting", "patient", "rif", {lastingStep(2, 1)});
+    REQUIRE(fixture.runRound().placements.size() == 2);
+    fixture.reportOrdersRunning("a", 0);
+    fixture.reportOrdersRunning("b", 0);
+    fixture.advanceClock(1s);
+    fixture.reportOrdersRunning("a", 100);
+    fixture.reportOrdersRunning("b", 100);
+    fixture.addJob("large", "long", "rif", {isGang ? WorkloadFixture::gang(2, 8, 8s) : WorkloadFixture::step(2, 8, 8s)});
+    auto later = isLaterLasting ? lastingStep(1, 1) : WorkloadFixture::step(1, 1, 4s);
+    fixture.addJob("later", "patient", "rif", {later});
+    REQUIRE(fixture.runRound().placements.size() == 1);
+}
+
+TEST_CASE("A large job's reservation is on hosts without tasks that last")
+{
+    WorkloadFixture fixture;
+    fixture.addHost("a", "r1-1");
+    fixture.addHost("b", "r1-1");
+    fixture.addJob("lasting", "patient", "rif", {lastingStep(1, 1)});
+    const auto lastingHost = fixture.runRound().placements.at(0).hosts.front().value();
+    const std::string otherHost = lastingHost == "a" ? "b" : "a";
+    fixture.reportOrdersRunning(lastingHost, 100);
+    auto &base = fixture.addJob("base", "long", "rif", {WorkloadFixture::step(1, 1, 5s)});
+    fixture.workload.place({&base, &base.units.at(0)}, {batch::HostId(otherHost)}, fixture.now);
+    fixture.addJob("large", "long", "rif", {WorkloadFixture::step(1, 8, 8s)});
+    fixture.addJob("later", "patient", "rif", {WorkloadFixture::step(1, 7, 20s)});
+    const auto plan = fixture.runRound();
+    REQUIRE(plan.placements.size() == 1);
+    REQUIRE(plan.placements[0].hosts.front().value() == lastingHost);
+}
+
+TEST_CASE("An urgent job doesn't wait for a task that lasts as if its startup were its end")
+{
+    WorkloadFixture fixture;
+    fixture.addHost("a", "r1-1");
+    fixture.addJob("lasting", "patient", "rif", {lastingStep(1, 8)});
+    fixture.runRound();
+    fixture.reportOrdersRunning("a", 0);
+    fixture.advanceClock(1s);
+    fixture.reportOrdersRunning("a", 100);
+    fixture.addJob("urgent", "urgent", "atlas", {WorkloadFixture::step(1, 8, 2s)});
+    REQUIRE(fixture.runRound().stops.size() == 1);
+}
+
+TEST_CASE("A task that lasts is moved before its draining host leaves")
+{
+    WorkloadFixture fixture;
+    fixture.addHost("a", "r1-1");
+    fixture.addJob("lasting", "long", "rif", {lastingStep(1, 1)});
+    fixture.runRound();
+    fixture.reportOrdersRunning("a", 0);
+    fixture.advanceClock(1s);
+    fixture.reportOrdersRunning("a", 100);
+    fixture.addHost("b", "r1-1");
+    fixture.call("a").report.isDraining = true;
+    fixture.call("a").report.remaining = 4s;
+    fixture.sendReport("a");
+    const auto plan = fixture.runRound();
+    REQUIRE(plan.stops.size() == 1);
+    REQUIRE(plan.stops[0].reason == batch::StopReason::HostLeaving);
+}
+
+TEST_CASE("A task doesn't wait for its data's rack while tasks that last fill it")
+{
+    WorkloadFixture fixture;
+    fixture.addHost("near", "r1-1");
+    fixture.addHost("far", "r1-2");
+    auto lasting = lastingStep(1, 8);
+    lasting.dataRack = "r1-1";
+    fixture.addJob("lasting", "long", "rif", {lasting});
+    fixture.runRound();
+    fixture.reportOrdersRunning("near", 0);
+    fixture.advanceClock(1s);
+    fixture.reportOrdersRunning("near", 100);
+    auto near = WorkloadFixture::step(1, 1, 4s);
+    near.dataRack = "r1-1";
+    fixture.addJob("job", "long", "rif", {near});
+    REQUIRE(fixture.runRound().placements.size() == 1);
+}
+
 TEST_CASE("A gang that prefers one rack spreads over a fleet with room once it has waited for longer than the slower run costs")
 {
     // On a large fleet, smaller units kept taking room on every rack; an urgent gang of whole hosts then waited until the end of the day
