batch: Let gangs spread when no rack will have room for them

Cause: whether a gang keeps to one rack was decided by what a rack holds when empty, and what ends the wait by the free part of the hosts that the step may use. Tasks that last never leave the rack, and a required label may leave the step with the fuller part of its service.

Change: "the room won't come" and "it has waited too long" are two questions now. A rack counts without what lasts there, unless the gang may preempt it; if no rack is large enough, the gang spreads at once. A gang that has waited for what the slower run costs spreads if half of the hosts that it may use, or half of its service's, is free; one that lasts after 2 s in any case.

Ruled out: that no fit over several racks is found (an urgent gang of that shape finds it).

Evidence: the three new cases of planner_test failed before, the first with either resource missing.

--- a/src/batch/fit_search.cpp
+++ b/src/batch/fit_search.cpp
@@ -239,13 +239,26 @@
     return best;
 }
 
-bool FitSearch::fitsWhenEmpty(const Candidate &candidate, const std::vector<std::size_t> &hosts) const
+Resources FitSearch::capacityBesideLasting(const HostState &state, const Candidate &candidate) const
+{
+    Resources capacity = state.host->report.capacity;
+    for (const auto &[placedIndex, members] : state.lastingUnits) {
+        const PlacedUnit &placedUnit = m_occupancy.placedUnits()[placedIndex];
+        const bool isGone = m_occupancy.isStopped(placedIndex) || (candidate.mayPreempt() && placedUnit.preemptionRank > candidate.preemptionRank());
+        for (unsigned i = 0; !isGone && i < members; ++i) {
+            capacity -= placedUnit.need;
+        }
+    }
+    return capacity;
+}
+
+bool FitSearch::fitsBesideLasting(const Candidate &candidate, const std::vector<std::size_t> &hosts) const
 {
     const Step &step = candidate.ref.step();
     const std::size_t members = step.isGang ? step.tasks : 1;
     std::size_t capacityInTasks = 0;
     for (const auto index : hosts) {
-        Resources resources = m_occupancy.hosts()[index].host->report.capacity;
+        Resources resources = capacityBesideLasting(m_occupancy.hosts()[index], candidate);
         const unsigned limit = step.maxTasksPerHost == 0 ? std::numeric_limits<unsigned>::max() : step.maxTasksPerHost;
         for (unsigned tasksOnHost = 0; tasksOnHost < limit && capacityInTasks < members && resources.covers(step.countedNeed()); ++tasksOnHost) {
             resources -= step.countedNeed();
@@ -259,7 +272,7 @@
 {
     const Step &step = candidate.ref.step();
     return step.isGang && step.prefersSingleRack && std::any_of(hosts.racks.begin(), hosts.racks.end(), [&](const auto &rack) {
-               return fitsWhenEmpty(candidate, rack);
+               return fitsBesideLasting(candidate, rack);
            });
 }
 
--- a/src/batch/fit_search.h
+++ b/src/batch/fit_search.h
@@ -51,7 +51,7 @@
      * other rules than that for resources keep the unit from the host at present.
      */
     [[nodiscard]] std::optional<double> costOnceFree(const HostState &state, const Candidate &candidate) const;
-    /** Whether the unit asks for a single rack and would fit into one of these hosts' racks if that rack were empty. */
+    /** Whether the unit asks for a single rack and would fit into one of these hosts' racks once all has ended there that will. */
     [[nodiscard]] bool requiresSingleRack(const Candidate &candidate, const HostSet &hosts) const;
 
 private:
@@ -85,8 +85,10 @@
     [[nodiscard]] Resources freeResources(const HostState &state, CapacitySource source, const Fit &fit) const;
     /** Places the unit's tasks greedily, one after the other, each on the host where it costs least. */
     [[nodiscard]] std::optional<Fit> tryFit(const Candidate &candidate, const std::vector<std::size_t> &hosts, CapacitySource source) const;
-    /** Whether the unit would fit on these hosts if nothing ran on them. */
-    [[nodiscard]] bool fitsWhenEmpty(const Candidate &candidate, const std::vector<std::size_t> &hosts) const;
+    /** Whether the unit would fit on these hosts if nothing ran on them but tasks that last and that it can't preempt. */
+    [[nodiscard]] bool fitsBesideLasting(const Candidate &candidate, const std::vector<std::size_t> &hosts) const;
+    /** Capacity of the host without that of tasks that last and that the candidate can't preempt. */
+    [[nodiscard]] Resources capacityBesideLasting(const HostState &state, const Candidate &candidate) const;
 
     const Occupancy &m_occupancy;
     const PlannerBounds &m_bounds;
--- a/src/batch/occupancy.cpp
+++ b/src/batch/occupancy.cpp
@@ -80,6 +80,7 @@
     for (auto &state : m_hosts) {
         for (const auto &[placedIndex, members] : state.placedUnits) {
             if (m_placedUnits[placedIndex].endsAt == Never) {
+                state.lastingUnits.emplace_back(placedIndex, members);
                 continue;
             }
             Resources resources;
@@ -140,7 +141,16 @@
 
 const HostSet &Occupancy::allowedHosts(const Candidate &candidate)
 {
-    HostSetKey key(m_workload.queueOf(*candidate.ref.job).service, candidate.ref.step().requiredLabel, candidate.isGuaranteed);
+    return hostSet({m_workload.queueOf(*candidate.ref.job).service, candidate.ref.step().requiredLabel, candidate.isGuaranteed});
+}
+
+const HostSet &Occupancy::serviceHosts(const Candidate &candidate)
+{
+    return hostSet({m_workload.queueOf(*candidate.ref.job).service, std::string(), candidate.isGuaranteed});
+}
+
+const HostSet &Occupancy::hostSet(HostSetKey key)
+{
     const auto found = m_hostSets.find(key);
     if (found != m_hostSets.end()) {
         return found->second;
--- a/src/batch/occupancy.h
+++ b/src/batch/occupancy.h
@@ -37,6 +37,8 @@
     Resources free;
     /** Index of each placed unit on this host, and the number of its members here. */
     std::vector<std::pair<std::size_t, unsigned>> placedUnits;
+    /** Those of them that aren't expected to end; see PlacedUnit::endsAt. */
+    std::vector<std::pair<std::size_t, unsigned>> lastingUnits;
     /** When each placed unit that is expected to end does so, with the resources that its members hold here; sorted by time. */
     std::vector<std::pair<Instant, Resources>> releases;
     /** Resources reserved for blocked units, each from the given time on. */
@@ -104,6 +106,8 @@
 
     /** Hosts that the candidate's tasks may run on, regardless of free resources. */
     [[nodiscard]] const HostSet &allowedHosts(const Candidate &candidate);
+    /** Hosts of the candidate's service that take new tasks, whatever label the candidate requires. */
+    [[nodiscard]] const HostSet &serviceHosts(const Candidate &candidate);
     /** The hosts among these that are not slow. */
     [[nodiscard]] const HostSet &hostsThatAreNotSlow(const HostSet &hosts);
     /** Whether at most half of the hosts' accelerators, and at most half of their cores, are in use. */
@@ -135,6 +139,9 @@
     /** What decides, apart from the host's state, whether a candidate may use it: service, required label, and whether it is guaranteed. */
     using HostSetKey = std::tuple<base::ServiceId, std::string, bool>;
 
+    /** The set of the key, which is collected when it is first asked for. */
+    [[nodiscard]] const HostSet &hostSet(HostSetKey key);
+
     /** Whether a task with this need is a small one on the host; see PlannerBounds::maxSmallTasksPerHost. */
     [[nodiscard]] bool isSmall(const Resources &need, const HostState &state) const;
     /** When the first task of the candidate's step that runs on the host is expected to end; empty if none is. */
--- a/src/batch/planner.cpp
+++ b/src/batch/planner.cpp
@@ -148,7 +148,7 @@
             }
         }
         ++m_plan.blocked;
-        if (mayPreempt(candidate)) {
+        if (candidate.mayPreempt()) {
             // After a place away from the data is declined, a fit that needs no wait is that place again.
             if (auto fit = m_fitSearch.bestFit(candidate, hosts, CapacitySource::Preemptible, singleRack);
                 fit && isPreemptionWorthwhile(candidate, *fit) && (!nearData || fit->requiresWait)) {
@@ -162,7 +162,7 @@
                 }
             }
         }
-        if (singleRack && hasWaitedTooLong(candidate) && m_occupancy.isMostlyFree(hosts)) {
+        if (singleRack && shouldSpread(candidate, hosts)) {
             if (auto fit = m_fitSearch.bestFit(candidate, hosts, CapacitySource::Free, false)) {
                 addPlacement(candidate, *fit);
                 return;
@@ -175,12 +175,6 @@
         reserve(candidate, hosts, singleRack);
     }
 
-    /** Without a guarantee, only an urgent job that can still meet its objective may preempt others. */
-    [[nodiscard]] static bool mayPreempt(const Candidate &candidate)
-    {
-        return candidate.isGuaranteed || (candidate.priority == 0 && candidate.latenessLevel == 0);
-    }
-
     /**
      * Makes room on hosts that aren't slow for an urgent unit that fits on slow ones only, if it would miss its objective there and is done
      * earlier after a preemption. Returns whether it does.
@@ -188,7 +182,7 @@
     bool avoidsSlowHosts(const Candidate &candidate, const HostSet &hosts, const Fit &slowFit, bool singleRack)
     {
         const bool isTooSlow = slowFit.slowFactor > std::max(1.0, m_workload.queueOf(*candidate.ref.job).slackFactor);
-        if (m_bounds.unevenHostRatio <= 0 || candidate.priority != 0 || !isTooSlow || !mayPreempt(candidate)) {
+        if (m_bounds.unevenHostRatio <= 0 || candidate.priority != 0 || !isTooSlow || !candidate.mayPreempt()) {
             return false;
         }
         // The time waited so far counts, too: others may take the room that is made, over and over again.
@@ -280,6 +274,16 @@
         return m_now - candidate.ref.unit->waitingSince >= maxRackWait(candidate);
     }
 
+    /**
+     * Whether a gang that has found no room in a single rack does better on several racks: it has waited for long, and either lasts, or much of
+     * what it may use is free, so that it takes no room from others who need it. A required label may leave it with few of its service's hosts.
+     */
+    [[nodiscard]] bool shouldSpread(const Candidate &candidate, const HostSet &hosts)
+    {
+        return hasWaitedTooLong(candidate)
+            && (candidate.ref.step().isLongRunning || m_occupancy.isMostlyFree(hosts) || m_occupancy.isMostlyFree(m_occupancy.serviceHosts(candidate)));
+    }
+
     /** Whether an earlier candidate of this round that needs no more on any host fitted nowhere. Free resources only shrink within a round. */
     [[nodiscard]] bool isKnownNotToFit(const Candidate &candidate)
     {
--- a/src/batch/waiting_order.h
+++ b/src/batch/waiting_order.h
@@ -42,6 +42,11 @@
     {
         return !isGuaranteed && latenessLevel < 2;
     }
+    /** Without a guarantee, only an urgent job that can still meet its objective may preempt others. */
+    [[nodiscard]] bool mayPreempt() const
+    {
+        return isGuaranteed || (priority == 0 && latenessLevel == 0);
+    }
     /** See PlacedUnit::preemptionRank. */
     [[nodiscard]] int preemptionRank() const
     {
--- a/tests/batch/planner_test.cpp
+++ b/tests/batch/planner_test.cpp
@@ -468,6 +468,96 @@
     REQUIRE(fixture.runRound().placements.size() == 1);
 }
 
+namespace
+{
+
+/** Two racks of two hosts of kind b, and three hosts of kind a that are idle. Each host of kind b is ordered to run a task of the given step. */
+void fillKind(WorkloadFixture &fixture, const batch::Step &step)
+{
+    for (const auto *host : {"b1", "b2", "b3", "b4"}) {
+        fixture.addHost(host, host[1] <= '2' ? "r2-1" : "r2-2");
+        fixture.call(host).report.labels.insert("b");
+        fixture.sendReport(host);
+    }
+    for (const auto *host : {"a1", "a2", "a3"}) {
+        fixture.addHost(host, "r1-0");
+    }
+    auto onKind = step;
+    onKind.tasks = 4;
+    onKind.maxTasksPerHost = 1;
+    onKind.requiredLabel = "b";
+    fixture.addJob("base", "patient", "rif", {onKind});
+    REQUIRE(fixture.runRound().placements.size() == 4);
+}
+
+/** The hosts of kind b report the progress of their tasks, in percent. */
+void reportProgress(WorkloadFixture &fixture, std::uint32_t percent)
+{
+    for (const auto *host : {"b1", "b2", "b3", "b4"}) {
+        fixture.reportOrdersRunning(host, percent);
+    }
+}
+
+batch::Step gangOnKind()
+{
+    auto gang = WorkloadFixture::gang(3, 3, 3s);
+    gang.prefersSingleRack = true;
+    gang.requiredLabel = "b";
+    return gang;
+}
+
+} // namespace
+
+TEST_CASE("A gang that prefers one rack spreads at once if tasks that last leave no rack with room for it")
+{
+    // It waited for a rack that would only ever have had room when empty. Either resource may be the one that is missing.
+    const bool areCoresTaken = GENERATE(false, true);
+    WorkloadFixture fixture;
+    auto lasting = WorkloadFixture::step(4, areCoresTaken ? 0 : 5, 10s);
+    lasting.need.millicores = areCoresTaken ? 63'000 : 4000;
+    lasting.isLongRunning = true;
+    fillKind(fixture, lasting);
+    reportProgress(fixture, 0);
+    fixture.advanceClock(1s);
+    reportProgress(fixture, 100);
+    fixture.addJob("gang", "long", "rif", {gangOnKind()});
+    REQUIRE(fixture.runRound().placements.size() == 1);
+}
+
+TEST_CASE("A gang that prefers one rack and may use few hosts of its service spreads once the service as a whole has room")
+{
+    // Of the hosts that it may use, less than half was free, so it waited for as long as the tasks there ran.
+    WorkloadFixture fixture;
+    fillKind(fixture, WorkloadFixture::step(4, 5, 3600s));
+    fixture.addJob("gang", "long", "rif", {gangOnKind()});
+    int second = 0;
+    while (fixture.runRound().placements.empty()) {
+        REQUIRE(second < 6);
+        fixture.advanceClock(1s);
+        reportProgress(fixture, static_cast<std::uint32_t>(++second));
+    }
+    REQUIRE(second == 6);
+}
+
+TEST_CASE("A gang that lasts doesn't wait long for a single rack, however full its service is")
+{
+    WorkloadFixture fixture;
+    fillKind(fixture, WorkloadFixture::step(4, 5, 3600s));
+    fixture.addJob("filling", "patient", "rif", {WorkloadFixture::step(3, 8, 3600s)});
+    fixture.runRound();
+    auto gang = gangOnKind();
+    gang.isLongRunning = true;
+    gang.estimate = 10s;
+    fixture.addJob("gang", "long", "rif", {gang});
+    int second = 0;
+    while (fixture.runRound().placements.empty()) {
+        REQUIRE(second < 3);
+        fixture.advanceClock(1s);
+        reportProgress(fixture, static_cast<std::uint32_t>(++second));
+    }
+    REQUIRE(second > 0);
+}
+
 TEST_CASE("Units that free nothing of what an urgent unit lacks aren't preempted for it")
 {
     // Hundreds of small tasks without accelerators, the cheapest to stop, were stopped for a task that lacked accelerators.
