batch: Count a job as waiting until a task of it has begun

Cause: a job became active when its first unit was placed, which is before any host has the order.

Change: a job is active once the executor has confirmed a start, listed a run, reported its end, or crashed under a run that had certainly begun. Agents tell of confirmed starts in SyncCall::confirmed, before a listing shows the runs. The change is recorded, so the next leader, and entries that are asked for the state, know it. The time that plantainfork_batch_wait_seconds records ends there, too.

Ruled out: that the entries' copy of the count is old (it is kept for 0.7 s, and was wrong for seconds).

The new cases are in workload_test, scheduler_test (with a change of leader) and agent_test.

--- a/src/batch/agent.h
+++ b/src/batch/agent.h
@@ -250,6 +250,7 @@
         call.barred.assign(m_barred.begin(), m_barred.end());
         call.starting.assign(m_starting.begin(), m_starting.end());
         call.starting.insert(call.starting.end(), m_unlisted.begin(), m_unlisted.end());
+        call.confirmed.assign(m_unlisted.begin(), m_unlisted.end());
         call.crashed = m_possibleRuns.crashed();
         call.hasSeenEnd = m_hasSeenEnd;
         call.wait = wait;
--- a/src/batch/messages.h
+++ b/src/batch/messages.h
@@ -95,6 +95,8 @@
     std::vector<RunId> barred;
     /** Ordered runs that the agent is still trying to start. */
     std::vector<RunId> starting;
+    /** Those of them whose start the executor has confirmed, and that no listing has shown yet. An agent of an earlier version doesn't tell. */
+    std::vector<RunId> confirmed;
     /** Runs that an earlier incarnation of the executor had, or may have had, when it crashed; repeated until the leader has recorded them. */
     std::vector<CrashedRun> crashed;
     /** The agent's process knew an earlier incarnation, too, so `crashed` tells whether that one has crashed. */
@@ -117,6 +119,7 @@
                        ended,
                        barred,
                        starting,
+                       confirmed,
                        crashed,
                        hasSeenEnd,
                        wait);
@@ -130,7 +133,7 @@
     MSGPACK_DEFINE_MAP(isLeader, queues, counts);
 };
 
-/** Asks for the number of accepted jobs of each queue that have not started. */
+/** Asks for the number of accepted jobs of each queue of which no task has begun. */
 struct PendingCall {
     static constexpr std::string_view Method = "/batch/pending";
     using Reply = PendingReply;
--- a/src/batch/model.h
+++ b/src/batch/model.h
@@ -144,7 +144,9 @@
 };
 
 enum class JobStatus : std::uint8_t {
+    /** No task has begun. Tasks may have been ordered to start. */
     Queued,
+    /** A task has begun, whatever has become of it. */
     Active,
     Complete,
     Failed,
--- a/src/batch/workload.cpp
+++ b/src/batch/workload.cpp
@@ -345,10 +345,6 @@
     }
     markOrdersChanged(unit);
     const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - ref.job->acceptedAt);
-    if (ref.job->status == JobStatus::Queued) {
-        ref.job->status = JobStatus::Active;
-        m_timings.push_back({ref.job->spec.workspace, priorityOf(*ref.job), JobStatus::Active, age});
-    }
     ref.job->isDirty = true;
     std::vector<std::pair<std::string, std::string>> fields{{"job", ref.job->spec.id.value()},
                                                             {"unit", ref.job->taskOf(unit, 0).text()},
@@ -465,6 +461,9 @@
         return;
     }
     const bool wasRunning = member.phase == MemberPhase::Running;
+    if (kind != EndKind::Refused && kind != EndKind::Lost) {
+        noteBegun(job, now);
+    }
     member.phase = MemberPhase::Ended;
     member.end = kind;
     m_changedHosts.insert(member.host);
--- a/src/batch/workload.h
+++ b/src/batch/workload.h
@@ -41,6 +41,8 @@
     std::size_t hostNumber = 0;
     HostIncarnation incarnation;
     MemberPhase phase = MemberPhase::Ordered;
+    /** The executor has confirmed the start, or has listed the run. */
+    bool hasBegun = false;
     EndKind end = EndKind::Lost;
     std::uint32_t percent = 0;
     /** Progress when the host first listed the run. Speed is measured from here because `startedAt` may be later than the actual start. */
@@ -302,11 +304,11 @@
     std::vector<std::pair<std::string, std::string>> fields;
 };
 
-/** Time from a job's acceptance to its first placement or to its end, for the metrics. */
+/** Time from a job's acceptance until its first task began, or until its end, for the metrics. */
 struct JobTiming {
     base::WorkspaceId workspace;
     std::uint32_t priority = 0;
-    /** Active if the job was placed for the first time, otherwise the status with which it ended. */
+    /** Active if the job's first task has begun, otherwise the status with which it ended. */
     JobStatus status = JobStatus::Active;
     std::chrono::milliseconds age{0};
 };
@@ -491,7 +493,10 @@
     bool applyReport(Host &host, const SyncCall &call, Instant now, WallTime wallNow);
     /** Logs what makes the leader take another incarnation for the host's executor: what it knew, and which call of the agent tells. */
     void logNewExecutor(const Host &host, const SyncCall &call);
+    bool applyConfirmedStarts(Host &host, const SyncCall &call, Instant now);
     bool applyRunningRuns(Host &host, const SyncCall &call, Instant now);
+    /** Notes that a task of the job has begun. Returns whether it is the first. */
+    bool noteBegun(Job &job, Instant now);
     /** Passes the member's pace since it was first listed on to HostSpeeds if it says more about the host than what was passed on before. */
     void observePace(const Job &job, Unit &unit, std::size_t index, double percent, Instant now);
     /** How many times as long a member takes away from its data's rack, or in a gang that is spread over several racks. */
--- a/src/batch/workload_reports.cpp
+++ b/src/batch/workload_reports.cpp
@@ -88,6 +88,7 @@
         host.isListed = true;
         log("host listed", {{"host", call.host.value()}, {"running", std::to_string(call.running.size())}, {"ended", std::to_string(call.ended.size())}});
     }
+    isChanged = applyConfirmedStarts(host, call, now) || isChanged;
     isChanged = applyRunningRuns(host, call, now) || isChanged;
     isChanged = applyEndedRuns(host, call, now, wallNow) || isChanged;
     isChanged = applyBarredRuns(host, call, now, wallNow) || isChanged;
@@ -194,6 +195,32 @@
     return isChanged;
 }
 
+bool Workload::noteBegun(Job &job, Instant now)
+{
+    if (job.status != JobStatus::Queued) {
+        return false;
+    }
+    job.status = JobStatus::Active;
+    job.isDirty = true;
+    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - job.acceptedAt);
+    m_timings.push_back({job.spec.workspace, priorityOf(job), JobStatus::Active, age});
+    return true;
+}
+
+bool Workload::applyConfirmedStarts(Host &host, const SyncCall &call, Instant now)
+{
+    bool isChanged = false;
+    for (const auto &run : call.confirmed) {
+        const auto found = findMember(run, host.id);
+        if (!found || found->first.unit->members[found->second].phase != MemberPhase::Ordered) {
+            continue;
+        }
+        found->first.unit->members[found->second].hasBegun = true;
+        isChanged = noteBegun(*found->first.job, now) || isChanged;
+    }
+    return isChanged;
+}
+
 bool Workload::applyRunningRuns(Host &host, const SyncCall &call, Instant now)
 {
     bool isChanged = false;
@@ -212,6 +239,8 @@
                 m_changedHosts.insert(host.id);
             }
             member.phase = MemberPhase::Running;
+            member.hasBegun = true;
+            noteBegun(*found->first.job, now);
             member.startedAt = member.progressedAt = now;
             member.percent = member.firstPercent = running.percent;
         }
@@ -404,6 +433,7 @@
          {"attempt", std::to_string(ended.run.attempt.value())},
          {"how", std::string(endKindText(ended.kind))}});
     job->second.isDirty = true;
+    noteBegun(job->second, now);
     if (ended.kind == EndKind::Done) {
         stop({&job->second, unit}, StopReason::Superseded);
         markDone(job->second, *unit, now);
@@ -444,6 +474,9 @@
         const auto job = m_jobs.find(run.task.job);
         Unit *unit = job != m_jobs.end() ? job->second.unit(run.task) : nullptr;
         const Crash crash{run.attempt, run.task.index, host.id, blameFor(crashed[i], crashed), beginOf(call.crashed[i])};
+        if (unit != nullptr && crash.begin == RunBegin::Certain) {
+            isChanged = noteBegun(job->second, now) || isChanged;
+        }
         if (unit != nullptr && countCrash(job->second, *unit, crash, call.crashed.size(), wallNow)) {
             isChanged = true;
             host.crashedAt = now;
--- a/tests/batch/agent_test.cpp
+++ b/tests/batch/agent_test.cpp
@@ -1,6 +1,7 @@
 /** What the agent lets its executor do, and when: grants, fencing, lost answers and the acknowledgement of ended runs. */
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <set>
 
 #include "batch/agent_fixture.h"
@@ -118,6 +119,26 @@
     }
 }
 
+TEST_CASE("The leader is told that a start was confirmed before a listing shows the run, and not that it was tried")
+{
+    const auto run = AgentFixture::run("job", 1);
+    AgentFixture fixture([&](const batch::SyncCall &) {
+        return AgentFixture::order(run, 3, 1, 5s);
+    });
+    fixture.executor.isListingOld = true;
+    fixture.executor.startResult = {batch::StartOutcome::Retryable, "503"};
+    fixture.runUntil([&] {
+        return fixture.executor.starts.size() >= 3;
+    });
+    REQUIRE(std::all_of(fixture.calls.begin(), fixture.calls.end(), [](const batch::SyncCall &call) {
+        return call.confirmed.empty();
+    }));
+    fixture.executor.startResult = {batch::StartOutcome::Started, ""};
+    fixture.runUntil([&] {
+        return fixture.calls.back().confirmed == std::vector<batch::RunId>{run};
+    });
+}
+
 TEST_CASE("An unexpected error in one call neither ends the agent nor leaves it without its loops")
 {
     AgentFixture fixture([](const batch::SyncCall &) {
--- a/tests/batch/scheduler_test.cpp
+++ b/tests/batch/scheduler_test.cpp
@@ -85,6 +85,7 @@
         for (const auto &run : running) {
             call.running.push_back({run, "", 1});
         }
+        call.confirmed = confirmed;
         call.token = token;
         call.listToken = token;
         return call;
@@ -116,6 +117,16 @@
         }
     }
 
+    /** The number of waiting jobs of the queue, as the entry in office counts them. */
+    static boost::asio::awaitable<std::uint64_t> countWaiting(Entry &entry)
+    {
+        const batch::PendingCall call;
+        const auto counted = co_await entry.scheduler->pending(call);
+        REQUIRE(counted.ok());
+        REQUIRE(counted->isLeader);
+        co_return counted->counts.at(0);
+    }
+
     void stop()
     {
         for (const auto &entry : entries) {
@@ -132,6 +143,8 @@
     /** The executor's instance, and what it runs. */
     std::string incarnation = "i-1";
     std::vector<batch::RunId> running;
+    /** Starts that it has confirmed, and whose runs it hasn't listed. */
+    std::vector<batch::RunId> confirmed;
 };
 
 bool isFromLeader(const batch::SyncReply &reply)
@@ -534,3 +547,45 @@
     REQUIRE(largest < 1024 * 1024);
     fixture.stop();
 }
+
+// Guards against MIXED: the number of waiting jobs left out those that had been placed, whether or not a task had begun.
+TEST_CASE("Jobs whose starts are ordered are counted as waiting until a task has begun, by the next leader, too")
+{
+    Fixture fixture;
+    auto &first = fixture.addEntry("e1");
+    fixture.addJob("begins");
+    fixture.addJob("waits");
+    const auto reply = fixture.syncUntil(first, [](const batch::SyncReply &received) {
+        return received.orders.runs.size() == 2;
+    });
+    const auto waiting = [&](Entry &entry) {
+        return tests::runOn(fixture.context, Fixture::countWaiting(entry));
+    };
+    REQUIRE(waiting(first) == 2);
+    for (const auto &order : reply.orders.runs) {
+        if (order.run.task.job.value() == "begins") {
+            fixture.confirmed = {order.run};
+        }
+    }
+    const auto stateOf = [&](const std::string &id) {
+        const auto found = fixture.data->read(batch::keys::state(base::JobId(id)), false);
+        const auto state = wire::decode<batch::JobState>(found.entries.at(0).value);
+        REQUIRE(state.ok());
+        return state->status;
+    };
+    fixture.syncUntil(first, [&](const batch::SyncReply &) {
+        return stateOf("begins") == batch::JobStatus::Active;
+    });
+    REQUIRE(waiting(first) == 1);
+    REQUIRE(stateOf("waits") == batch::JobStatus::Queued);
+    // The next leader counts by the records until it hears of the host.
+    tests::runOn(fixture.context, first.scheduler->stop(runtime::Clock::now() + 5s));
+    auto &second = fixture.addEntry("e2");
+    fixture.confirmed.clear();
+    fixture.syncUntil(second, isFromLeader);
+    fixture.syncUntil(second, [](const batch::SyncReply &received) {
+        return received.orders.version > 0;
+    });
+    REQUIRE(waiting(second) == 1);
+    fixture.stop();
+}
--- a/tests/batch/workload_test.cpp
+++ b/tests/batch/workload_test.cpp
@@ -199,8 +199,10 @@
     WorkloadFixture fixture;
     fixture.addHost("a", "r1-1");
     fixture.addJob("job", "long", "rif", {WorkloadFixture::step(2, 1, 5s)});
-    fixture.advanceClock(300ms);
     fixture.runRound();
+    REQUIRE(fixture.workload.takeTimings().empty());
+    fixture.advanceClock(300ms);
+    fixture.reportOrdersRunning("a", 0);
     auto timings = fixture.workload.takeTimings();
     REQUIRE(timings.size() == 1);
     REQUIRE(timings[0].workspace.value() == "rif");
@@ -213,6 +215,55 @@
     REQUIRE(timings[0].status == batch::JobStatus::Complete);
 }
 
+// Guards against MIXED: jobs whose starts an executor refused weren't counted as waiting, since a job counted as begun once it was placed.
+TEST_CASE("A job has begun once a task of it has, not when one is placed")
+{
+    WorkloadFixture fixture;
+    fixture.addHost("a", "r1-1");
+    auto &job = fixture.addJob("job", "long", "rif", {WorkloadFixture::step(2, 1, 5s)});
+    fixture.runRound();
+    REQUIRE(job.status == batch::JobStatus::Queued);
+    REQUIRE(fixture.workload.recordOf(job).status == batch::JobStatus::Queued);
+    SECTION("The executor has confirmed the start")
+    {
+        fixture.call("a").confirmed = {WorkloadFixture::run("job", 0, 1, 1)};
+        fixture.sendReport("a");
+    }
+    SECTION("The executor has listed the run")
+    {
+        fixture.reportOrdersRunning("a", 0);
+    }
+    SECTION("The run has failed before it was listed")
+    {
+        fixture.reportEnd("a", WorkloadFixture::run("job", 0, 0, 1), batch::EndKind::Failed);
+    }
+    SECTION("The executor has crashed under the run")
+    {
+        fixture.call("a").crashed = {{WorkloadFixture::run("job", 0, 0, 1), 0ms, batch::RunBegin::Certain}};
+        fixture.sendReport("a");
+    }
+    REQUIRE(job.status == batch::JobStatus::Active);
+    REQUIRE(job.isDirty);
+    REQUIRE(fixture.workload.recordOf(job).status == batch::JobStatus::Active);
+}
+
+TEST_CASE("A job whose starts were refused, or may never have reached the executor, hasn't begun")
+{
+    WorkloadFixture fixture;
+    fixture.addHost("a", "r1-1");
+    auto &job = fixture.addJob("job", "long", "rif", {WorkloadFixture::step(2, 1, 5s)});
+    fixture.runRound();
+    fixture.call("a").starting = {WorkloadFixture::run("job", 0, 1, 1)};
+    fixture.call("a").barred = {WorkloadFixture::run("job", 0, 0, 1)};
+    fixture.sendReport("a");
+    REQUIRE(job.status == batch::JobStatus::Queued);
+    fixture.call("a").crashed = {{WorkloadFixture::run("job", 0, 1, 1), 0ms, batch::RunBegin::Possible}};
+    fixture.sendReport("a");
+    fixture.call("a").report.incarnation = {"i-a-2", 2};
+    fixture.sendReport("a");
+    REQUIRE(job.status == batch::JobStatus::Queued);
+}
+
 TEST_CASE("A cancelled job's runs are stopped and no more are started")
 {
     WorkloadFixture fixture;
