batch: Withdraw starts from hosts that no longer take them

Cause: an evacuation or a drain closes a host to new placements only. An order whose run had not begun stood, and an agent repeats a refused start for as long as it is ordered.

Change: each round first withdraws units with a start that has not begun on a host that is evacuated, drains, leaves, has lost the label or serves another service than the queue's. The executor bars the start and the unit is placed elsewhere; that counts neither as a failure nor against the host. An agent starts nothing on an executor that drains or leaves, nor by orders that the leader hasn't confirmed for 2.5 s, and repeats no start while the leader's lease is in doubt, so that no start depends on a withdrawal that can't reach it. A new leader orders and withdraws no start before the host has listed its runs in the term, as it can't tell what has begun.

Ruled out: that the leader didn't know of the evacuation (its log has it before the start).

The new cases are in workload_test and agent_test.

--- a/src/batch/agent.h
+++ b/src/batch/agent.h
@@ -177,6 +177,11 @@
     static constexpr std::chrono::milliseconds OrderRetryDelay{50};
     /** Validity of a start call on the executor's clock: the executor refuses to carry it out later than this. */
     static constexpr std::chrono::milliseconds StartLifetime{1500};
+    /**
+     * How long orders allow starts after the leader was asked for newer ones. The leader may have withdrawn them since, as an evacuation asks for
+     * within five seconds; replies come at least once in CallTimeout.
+     */
+    static constexpr std::chrono::milliseconds OrdersLifetime{2500};
     static constexpr unsigned FailuresPerLogLine = 20;
     /** Delay before a change is reported, so that changes that come close together share one call. */
     static constexpr std::chrono::milliseconds ReportGap{3};
@@ -356,6 +361,7 @@
         m_isLeaderReached = true;
         m_leader = from;
         m_grantUntil = std::max(m_grantUntil, sent + reply.grant);
+        m_ordersConfirmedAt = std::max(m_ordersConfirmedAt, sent);
         if (reply.token != m_token) {
             m_token = reply.token;
             m_ordersChanged.notify();
@@ -396,10 +402,18 @@
         m_ordersChanged.notify();
     }
 
-    /** Keeps the payloads of runs that are still ordered, since the leader sends each payload once only. */
+    /**
+     * Keeps the payloads of runs that are still ordered, since the leader sends each payload once only, and of those that were being started: the
+     * leader counts them as known, and may order them again.
+     */
     void mergePayloads(const Orders &next)
     {
         std::map<RunId, RunOrder> kept;
+        for (const auto &run : m_starting) {
+            if (const auto known = m_payloads.find(run); known != m_payloads.end()) {
+                kept.insert(*known);
+            }
+        }
         for (const auto &order : next.runs) {
             const auto known = m_payloads.find(order.run);
             const bool isKnownBetter = known != m_payloads.end() && known->second.isComplete && (!order.isComplete || order.payload.empty());
@@ -489,16 +503,25 @@
         return executorNow + std::min(granted, StartLifetime);
     }
 
+    /** Whether the orders still allow starts; `failures` is the number of times that the run was tried without success. */
+    [[nodiscard]] bool mayStart(unsigned failures) const
+    {
+        const auto now = runtime::Clock::now();
+        // Orders of an earlier term may hold runs that have been given up since; the next leader's token would let them start all the same.
+        const bool isOrderCurrent = m_ordersToken == m_token && m_listToken == m_token && now - m_ordersConfirmedAt < OrdersLifetime;
+        // While the leader's lease may have lapsed, another one may withdraw what this one has ordered some time ago.
+        const bool isWithdrawn = m_isLeaderDoubtful && failures > 0;
+        return isOrderCurrent && !isWithdrawn && now < m_grantUntil && !m_report->isDraining && !m_report->isLeaving;
+    }
+
     asio::awaitable<void> startRun([[maybe_unused]] std::shared_ptr<Agent> self, RunId run, HostIncarnation incarnation)
     {
         const auto begin = runtime::Clock::now();
         unsigned failures = 0;
         while (isCurrentIncarnation(incarnation) && isOrdered(run) && !isListed(run)) {
             const auto executorNow = m_clock.now();
-            // Orders of an earlier term may hold runs that have been given up since; the next leader's token would let them start all the same.
-            const bool isOrderCurrent = m_ordersToken == m_token && m_listToken == m_token;
             // After a call without an answer, the next one may meet another life with a clock of its own.
-            if (!isOrderCurrent || runtime::Clock::now() >= m_grantUntil || !executorNow || !m_isExecutorReached) {
+            if (!mayStart(failures) || !executorNow || !m_isExecutorReached) {
                 co_await m_ordersChanged.waitUntil(runtime::Clock::now() + HoldRetryDelay);
                 continue;
             }
@@ -836,6 +859,8 @@
     runtime::Instant m_grantUntil{};
     base::FencingToken m_ordersToken;
     Orders m_orders;
+    /** When the call was sent to which the leader last replied with its newest orders, or that there are no newer ones. */
+    runtime::Instant m_ordersConfirmedAt{};
     /** Ordered runs with their payloads. */
     std::map<RunId, RunOrder> m_payloads;
 
--- a/src/batch/job.cpp
+++ b/src/batch/job.cpp
@@ -69,6 +69,8 @@
         return "stalled";
     case StopReason::Superseded:
         return "superseded";
+    case StopReason::HostClosed:
+        return "host_closed";
     case StopReason::NoRoom:
         return "no_room";
     case StopReason::HostRestarted:
--- a/src/batch/occupancy.cpp
+++ b/src/batch/occupancy.cpp
@@ -32,8 +32,9 @@
         HostState state;
         state.host = &host;
         state.free = host.report.capacity;
-        state.isOpen = !host.report.isDraining && !host.report.isLeaving && m_workload.isReachable(host, m_now) && m_now >= host.suspendedUntil
-            && !evacuated.contains(host.report.dataCentre);
+        state.isEvacuated = evacuated.contains(host.report.dataCentre);
+        state.isOpen =
+            !host.report.isDraining && !host.report.isLeaving && m_workload.isReachable(host, m_now) && m_now >= host.suspendedUntil && !state.isEvacuated;
         state.slowFactor = m_workload.speeds().slowFactor(host.number);
         m_hasDrainingHosts = m_hasDrainingHosts || host.report.isDraining;
         m_indexByNumber[host.number] = m_hosts.size();
@@ -106,6 +107,11 @@
         }
         HostState &host = m_hosts[index];
         host.isStalled = host.isStalled || progress.isStalled(job, unit, member);
+        const bool isWithdrawable = host.host->isListed && member.phase == MemberPhase::Ordered && !member.hasBegun && !placedUnit.isReleasing;
+        const bool isNoted = !m_unitsOnClosedHosts.empty() && m_unitsOnClosedHosts.back() == placedIndex;
+        if (isWithdrawable && !isNoted && isClosedTo(host, job, job.stepOf(unit))) {
+            m_unitsOnClosedHosts.push_back(placedIndex);
+        }
         if (member.phase == MemberPhase::Ordered) {
             host.hasStartingTask = true;
             host.hasStartingSuspect = host.hasStartingSuspect || unit.isCrashSuspect();
@@ -123,6 +129,13 @@
     }
 }
 
+bool Occupancy::isClosedTo(const HostState &state, const Job &job, const Step &step) const
+{
+    const HostReport &report = state.host->report;
+    return state.isEvacuated || report.isDraining || report.isLeaving || report.service != m_workload.queueOf(job).service
+        || (!step.requiredLabel.empty() && !report.labels.contains(step.requiredLabel));
+}
+
 std::optional<Instant> Occupancy::earliestDrainDeadline(const PlacedUnit &placedUnit) const
 {
     std::optional<Instant> earliest;
--- a/src/batch/occupancy.h
+++ b/src/batch/occupancy.h
@@ -56,6 +56,8 @@
     double lossRate = 0;
     /** The host takes new tasks of some job. */
     bool isOpen = false;
+    /** The data centre of the host is evacuated. */
+    bool isEvacuated = false;
     /** How many times as long tasks take here if the host is classified as slow, otherwise 1. */
     double slowFactor = 1.0;
     /** Number of tasks on this host by job, occurrence and step; only of steps with a Step::maxTasksPerHost. */
@@ -101,6 +103,11 @@
     {
         m_stopped.insert(placedUnit);
     }
+    /** Placed units with a task that was ordered to start on a host, hasn't begun there, and wouldn't be placed there now whatever its resources. */
+    [[nodiscard]] const std::vector<std::size_t> &unitsOnClosedHosts() const
+    {
+        return m_unitsOnClosedHosts;
+    }
     /** The earliest time at which one of the unit's draining hosts may leave; empty if none is draining. */
     [[nodiscard]] std::optional<Instant> earliestDrainDeadline(const PlacedUnit &placedUnit) const;
 
@@ -142,6 +149,8 @@
     /** The set of the key, which is collected when it is first asked for. */
     [[nodiscard]] const HostSet &hostSet(HostSetKey key);
 
+    /** Whether the host takes no tasks of the step any more, for a reason other than its resources, its faults or a silence of its agent. */
+    [[nodiscard]] bool isClosedTo(const HostState &state, const Job &job, const Step &step) const;
     /** Whether a task with this need is a small one on the host; see PlannerBounds::maxSmallTasksPerHost. */
     [[nodiscard]] bool isSmall(const Resources &need, const HostState &state) const;
     /** When the first task of the candidate's step that runs on the host is expected to end; empty if none is. */
@@ -163,6 +172,8 @@
     /** Index into m_hosts by Host::number. */
     std::vector<std::size_t> m_indexByNumber;
     std::vector<PlacedUnit> m_placedUnits;
+    /** Ascending, without duplicates. */
+    std::vector<std::size_t> m_unitsOnClosedHosts;
     std::set<std::size_t> m_stopped;
     std::map<HostSetKey, HostSet> m_hostSets;
     /** By the set of which they are a part. */
--- a/src/batch/planner.cpp
+++ b/src/batch/planner.cpp
@@ -41,6 +41,7 @@
 
     Plan run()
     {
+        withdrawStartsOnClosedHosts();
         withdrawStartsWithoutRoom();
         const auto candidates = m_order.candidates();
         for (const auto &candidate : candidates) {
@@ -419,6 +420,18 @@
         }
     }
 
+    /**
+     * Withdraws units with starts that have not begun on hosts that no longer take them: an agent repeats a start for as long as it is ordered,
+     * so an unhealthy executor may begin it at any later time.
+     */
+    void withdrawStartsOnClosedHosts()
+    {
+        for (const auto placedIndex : m_occupancy.unitsOnClosedHosts()) {
+            m_occupancy.markStopped(placedIndex);
+            m_plan.stops.push_back({m_occupancy.placedUnits()[placedIndex].ref, StopReason::HostClosed});
+        }
+    }
+
     /**
      * Withdraws starts, the newest first, that a host has not listed yet and for which its room no longer suffices. An executor that doesn't
      * check its room may carry them out whenever it gets to them.
--- a/src/batch/workload.cpp
+++ b/src/batch/workload.cpp
@@ -667,6 +667,9 @@
             const RunId run{job->taskOf(*unit, i), unit->attempt};
             if (shouldStop) {
                 orders.stops.push_back(run);
+            } else if (member.phase == MemberPhase::Ordered && !host.isListed) {
+                // The host may have begun it for an earlier leader, and if it hasn't, the start may have to be withdrawn.
+                continue;
             } else if (member.phase == MemberPhase::Ordered) {
                 const std::size_t bytes = job->spec.payload.size() + unit->checkpoint.size();
                 if (startBytes > 0 && startBytes + bytes > StartBytes) {
--- a/src/batch/workload.h
+++ b/src/batch/workload.h
@@ -81,6 +81,8 @@
     Superseded,
     /** Its host's room has shrunk, and the host has not listed it yet. */
     NoRoom,
+    /** Its host, on which it hasn't begun, no longer takes it: it drains or leaves, its data centre is evacuated, or its label or service differ. */
+    HostClosed,
     /** Its executor restarted under the same id, and either incarnation may have received the order. */
     HostRestarted,
 };
@@ -427,7 +429,10 @@
      * until it can have orders without the runs that were given up: with older ones it would start them beside their next attempts.
      */
     [[nodiscard]] bool mayRenewLease(const SyncCall &call) const;
-    /** The complete orders for a host: what it should run and what it should stop. Starts beyond StartBytes wait until it has listed earlier ones. */
+    /**
+     * The complete orders for a host: what it should run and what it should stop. Starts beyond StartBytes wait until it has listed earlier ones,
+     * and all starts until it has listed its runs in this term.
+     */
     [[nodiscard]] Orders ordersFor(const Host &host) const;
     [[nodiscard]] JobState recordOf(const Job &job) const;
     /** Time since the last call of the reachable host that has been silent for longest. */
--- a/src/batch/workload_reports.cpp
+++ b/src/batch/workload_reports.cpp
@@ -86,6 +86,7 @@
     }
     if (!host.isListed) {
         host.isListed = true;
+        m_changedHosts.insert(host.id);
         log("host listed", {{"host", call.host.value()}, {"running", std::to_string(call.running.size())}, {"ended", std::to_string(call.ended.size())}});
     }
     isChanged = applyConfirmedStarts(host, call, now) || isChanged;
--- a/tests/batch/agent_test.cpp
+++ b/tests/batch/agent_test.cpp
@@ -139,6 +139,57 @@
     });
 }
 
+// Guards against EVAC and DRAIN: an agent repeated a refused start for as long as it had the order, whatever had become of the host.
+TEST_CASE("A refused start is repeated only while the leader confirms the order, and the executor doesn't drain")
+{
+    enum class Change {
+        None,
+        Draining,
+        Leaving,
+        LeaderSilent,
+        LeaderDoubtful,
+    };
+    const auto change = GENERATE(Change::None, Change::Draining, Change::Leaving, Change::LeaderSilent, Change::LeaderDoubtful);
+    bool isChanged = false;
+    AgentFixture fixture([&](const batch::SyncCall &) -> absl::StatusOr<batch::SyncReply> {
+        if (isChanged && change == Change::LeaderSilent) {
+            return absl::UnavailableError("leader gone");
+        }
+        auto reply = AgentFixture::order(AgentFixture::run("job", 1), 3, 1, 10s);
+        reply.isDoubtful = isChanged && change == Change::LeaderDoubtful;
+        return reply;
+    });
+    fixture.executor.isStartIgnored = true;
+    fixture.executor.startResult = {batch::StartOutcome::Retryable, "503"};
+    fixture.runUntil([&] {
+        return fixture.executor.starts.size() >= 3;
+    });
+    isChanged = true;
+    if (change == Change::Draining) {
+        fixture.announce({"i-1", 1}, true);
+    } else if (change == Change::Leaving) {
+        fixture.announceLeave("i-1");
+    }
+    // Longer than orders are valid without a confirmation.
+    fixture.runFor(3s);
+    const auto tried = fixture.executor.starts.size();
+    fixture.runFor(500ms);
+    REQUIRE((fixture.executor.starts.size() > tried) == (change == Change::None));
+}
+
+TEST_CASE("A run that is ordered by a leader in doubt is started")
+{
+    // Its orders were recorded while it held its lease, or after the store was back.
+    AgentFixture fixture([](const batch::SyncCall &) {
+        auto reply = AgentFixture::order(AgentFixture::run("job", 1), 3, 1, 5s);
+        reply.isDoubtful = true;
+        return reply;
+    });
+    fixture.runUntil([&] {
+        return !fixture.executor.starts.empty();
+    });
+}
+
 TEST_CASE("An unexpected error in one call neither ends the agent nor leaves it without its loops")
 {
     AgentFixture fixture([](const batch::SyncCall &) {
--- a/tests/batch/workload_test.cpp
+++ b/tests/batch/workload_test.cpp
@@ -447,6 +447,108 @@
     REQUIRE(unitOf(fixture, "job").members.at(0).host.value() == "b");
 }
 
+// Guards against EVAC, DRAIN and ROUTE: a start that an executor had refused so far stood, and was repeated until the executor took it.
+TEST_CASE("Starts that have not begun are withdrawn from a host that no longer takes them, and placed elsewhere at once")
+{
+    WorkloadFixture fixture;
+    fixture.addHost("a", "r1-1", "pens");
+    fixture.call("a").report.labels.insert("special");
+    fixture.sendReport("a");
+    auto special = WorkloadFixture::step(2, 1, 5s);
+    special.requiredLabel = "special";
+    auto &job = fixture.addJob("job", "long", "rif", {special});
+    REQUIRE(fixture.runRound().placements.size() == 2);
+    fixture.addHost("b", "r2-1", "fold");
+    fixture.call("b").report.labels.insert("special");
+    fixture.sendReport("b");
+    // One has begun, and may run on.
+    fixture.call("a").confirmed = {WorkloadFixture::run("job", 0, 1, 1)};
+    auto &report = fixture.call("a").report;
+    SECTION("Its data centre is evacuated")
+    {
+        fixture.evacuated = {base::DataCentreId("pens")};
+    }
+    SECTION("It drains")
+    {
+        report.isDraining = true;
+        report.remaining = 20s;
+    }
+    SECTION("It leaves")
+    {
+        report.isLeaving = true;
+    }
+    SECTION("It has lost a label")
+    {
+        report.labels.erase("special");
+    }
+    SECTION("Its queue goes to another service")
+    {
+        fixture.policy->queues.at(batch::QueueId("long")).service = base::ServiceId("other");
+        fixture.call("b").report.service = base::ServiceId("other");
+        fixture.sendReport("b");
+    }
+    fixture.sendReport("a");
+    const auto plan = fixture.runRound();
+    REQUIRE(plan.stops.size() == 1);
+    REQUIRE(plan.stops[0].reason == batch::StopReason::HostClosed);
+    REQUIRE(plan.stops[0].unit.unit == &job.units.at(0));
+    REQUIRE(fixture.runRound().stops.empty());
+    fixture.call("a").barred = {WorkloadFixture::run("job", 0, 0, 1)};
+    fixture.sendReport("a");
+    const auto next = fixture.runRound();
+    REQUIRE(next.placements.size() == 1);
+    REQUIRE(next.placements[0].hosts.front().value() == "b");
+    // It counts neither as a failure of the task nor against the host.
+    REQUIRE(job.units.at(0).failures.empty());
+    REQUIRE(job.units.at(0).crashes.empty());
+    REQUIRE(job.units.at(0).failedHosts.empty());
+}
+
+TEST_CASE("A gang is withdrawn as a whole if one of its starts is")
+{
+    WorkloadFixture fixture;
+    fixture.addHost("a", "r1-1", "pens");
+    fixture.addHost("b", "r1-2", "fold");
+    fixture.addJob("gang", "long", "rif", {WorkloadFixture::gang(2, 8, 5s)});
+    REQUIRE(fixture.runRound().placements.size() == 1);
+    fixture.reportOrdersRunning("b", 0);
+    fixture.evacuated = {base::DataCentreId("pens")};
+    REQUIRE(fixture.runRound().stops.size() == 1);
+    REQUIRE(fixture.workload.ordersFor(fixture.workload.hosts().at(batch::HostId("b"))).stops.size() == 1);
+}
+
+TEST_CASE("A new leader orders and withdraws no start before the host has listed its runs")
+{
+    // What an earlier leader ordered may be running by now, in a data centre that is evacuated.
+    WorkloadFixture first;
+    first.addHost("a", "r1-1", "pens");
+    first.addJob("runs", "long", "rif", {WorkloadFixture::step(1, 1, 5s)});
+    first.addJob("refused", "long", "rif", {WorkloadFixture::step(1, 1, 5s)});
+    REQUIRE(first.runRound().placements.size() == 2);
+    WorkloadFixture next;
+    next.evacuated = {base::DataCentreId("pens")};
+    for (const auto &[id, job] : first.workload.jobs()) {
+        next.workload.addJob(job.spec, first.workload.recordOf(job), next.now, next.wallNow());
+    }
+    const auto orders = [&] {
+        return next.workload.ordersFor(next.workload.hosts().at(batch::HostId("a")));
+    };
+    // The first call under the term's token has no list of runs under it yet.
+    next.addHost("a", "r1-1", "pens");
+    next.workload.hosts().at(batch::HostId("a")).isListed = false;
+    REQUIRE(next.runRound().stops.empty());
+    REQUIRE(orders().runs.empty());
+    next.call("a").running = {{WorkloadFixture::run("runs", 0, 0, 1), "", 10}};
+    (void)next.workload.takeChangedHosts();
+    next.sendReport("a");
+    REQUIRE(next.workload.takeChangedHosts().contains(batch::HostId("a")));
+    const auto plan = next.runRound();
+    REQUIRE(plan.stops.size() == 1);
+    REQUIRE(plan.stops[0].unit.job->spec.id.value() == "refused");
+    REQUIRE(orders().runs.size() == 1);
+    REQUIRE(orders().stops.size() == 1);
+}
+
 TEST_CASE("A host whose room has shrunk gets no more than it offers now")
 {
     WorkloadFixture fixture;
