tests: Don't give a daemon under test one address twice

Its folder was left: rpc and http in its settings were both 127.0.0.1:38899, and its log says "Address already in use".

Cause: the fixture looked for a free address and let it go again before it looked for the next, so it could find the same one twice.

Change: the addresses are held until the process starts. What the test checks is unchanged. Another process can still take one of them in between. daemon_signals_test and entry_stop_test look for their addresses in the same way, and are as before.

--- a/tests/platform/daemon_process.h
+++ b/tests/platform/daemon_process.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include <unistd.h>
 
@@ -59,6 +60,7 @@
         const auto bin = std::filesystem::canonical("/proc/self/exe").parent_path();
         command.arguments = {bin / "plantainfork-batchd", "--settings=" + (folder / "daemon.toml").string()};
         command.logFile = (folder / "daemon.log").string();
+        m_probes.clear();
         REQUIRE(process.start(command).ok());
         pid = process.pid();
         awaitService();
@@ -120,6 +122,8 @@
     const std::string role;
     /** Where callers, or the executor, POST. */
     const std::string path;
+    /** Keep the addresses that were found free from being found again, until the process takes them. */
+    std::vector<boost::asio::ip::tcp::acceptor> m_probes;
     soak::Store store;
     std::unique_ptr<http::Server> storeServer;
     const standins::Endpoint http;
@@ -135,7 +139,7 @@
 
     standins::Endpoint freeAddress()
     {
-        const boost::asio::ip::tcp::acceptor probe(context, {boost::asio::ip::make_address("127.0.0.1"), 0});
+        const auto &probe = m_probes.emplace_back(context, boost::asio::ip::tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0));
         return {"127.0.0.1", probe.local_endpoint().port()};
     }
 
